--- /dev/null
+++ b/dappledrum/dispatch.py
@@ -0,0 +1,247 @@
+"""Between the records and the planner: what the planner sees, and what its plan changes."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.fleet.keeper import Keeper
+from dappledrum.fleet.messages import MachineType
+from dappledrum.jobs.intake import allowed
+from dappledrum.jobs.messages import RANKS, Form
+from dappledrum.jobs.record import Job, Page, Placement
+from dappledrum.scheduling.deadlines import stage_deadline
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.scheduling.lanes import Kind, Lanes, Size
+from dappledrum.scheduling.plan import Bag, Offer, Plan, Planner, TeamRoom
+from dappledrum.settings import Params
+from dappledrum.workers.roster import Machine, Roster
+
+log = logging.getLogger(__name__)
+
+LONG = timedelta(days=1)  # services run until they are cancelled
+MOST_READY = 400  # tasks of one job that a plan looks at
+MOST_RENTED = 20  # machines of one kind that a plan asks for
+NO_LIMIT = 1e18
+
+
+@dataclass(frozen=True)
+class Tuning:
+    """The operator's own settings of the paper's open parameters."""
+
+    interval: timedelta = timedelta(seconds=60)
+    ready_share: float = 0.3
+
+
+class Dispatcher:
+    """Plans, and places what the plan starts."""
+
+    def __init__(
+        self,
+        jobs: dict[str, Job],
+        roster: Roster,
+        estimates: Estimates,
+        keeper: Keeper,
+        params: Params,
+        clock: Clock,
+        tuning: Tuning,
+        mark: Callable[[Page], None],
+    ) -> None:
+        self.jobs = jobs
+        self.roster = roster
+        self.estimates = estimates
+        self.keeper = keeper
+        self.params = params
+        self.clock = clock
+        self.tuning = tuning
+        self.mark = mark
+
+    def run(self) -> Plan:
+        """One wake of the rule."""
+        now = self.clock.now()
+        lanes = [view for machine in self.roster if (view := self._lanes(machine, now)) is not None]
+        bags = [bag for job in self._in_order() if (bag := self._bag(job, now)) is not None]
+        planner = Planner(
+            now,
+            lanes,
+            self._offers(),
+            self.tuning.interval,
+            self.tuning.ready_share,
+            TeamRoom(self._team_room()),
+        )
+        plan = planner.run(bags)
+        for bag, name, count in plan.starts:
+            self._place(self.jobs[bag], name, count)
+        # Before the first list nobody knows what a predecessor has rented.
+        self.keeper.order(plan.rentals if self.keeper.listed else {}, plan.needed)
+        return plan
+
+    def _in_order(self) -> list[Job]:
+        return sorted(self.jobs.values(), key=lambda job: (job.accepted_at, job.id))
+
+    # what the planner sees
+
+    def task_time(self, job: Job) -> timedelta:
+        """The estimate Q without the image."""
+        if job.spec.form is Form.SERVICE:
+            return self.tuning.interval * 10
+        return self.estimates.task_time(job.id, job.spec.job_class, job.spec.estimate)
+
+    def _lanes(self, machine: Machine, now: timedelta) -> Lanes | None:
+        kind = machine.kind
+        model = self.keeper.types.get(kind.type) if kind is not None else None
+        if kind is None or model is None or machine.returning or machine.draining or machine.failed:
+            return None
+        if machine.up and (machine.silent(now, self.params.workers.report) or now < machine.blocked_until):
+            return None
+        if not machine.up and (self.keeper.overdue(machine) or machine.placements):
+            return None
+        ready_at = now if machine.up else self.keeper.ready_at(machine)
+        until = None if machine.recall_at is None else machine.recall_at - timedelta(seconds=1)
+        lanes = Lanes(
+            machine.name, kind, Size(model.cpus, model.gpus, model.memory_gb), ready_at, machine.rented_at,
+            model.hourly(kind.spot), model.fetch_gb_per_s, until, booting=not machine.up,
+        )  # fmt: skip
+        for image in machine.images:
+            lanes.images[image] = ready_at
+        for placement in machine.placements.values():
+            spec = placement.page.job.spec
+            lanes.reserve(now, self._finish(placement, lanes, now), Size(spec.cpus, spec.gpus, spec.memory_gb))
+            lanes.expect(spec.image, spec.image_gb, now)
+        return lanes
+
+    def _finish(self, placement: Placement, lanes: Lanes, now: timedelta) -> timedelta:
+        """When a task that is on a machine is expected to be off it."""
+        job = placement.page.job
+        if placement.lost or job.cancelled:
+            return now + self.params.workers.report * 2
+        if job.spec.form is Form.SERVICE:
+            return now + LONG
+        mean, deviation = self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)
+        if placement.running_at is None:
+            return now + lanes.duration(mean + deviation, job.spec.image, job.spec.image_gb, now)
+        left = mean + deviation - (now - placement.running_at)
+        return now + max(left, deviation / 2, timedelta(seconds=1))
+
+    def _bag(self, job: Job, now: timedelta) -> Bag | None:
+        spec = job.spec
+        ready = min(job.waiting(), MOST_READY)
+        if ready <= 0 or job.cancelled or job.over or now < job.retry_at:
+            return None
+        held = len(job.errors) >= 3
+        run = self.task_time(job)
+        due = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
+        limit = stage_deadline(self.params.objectives, spec.job_class, due, run)
+        if limit is None:
+            limit = timedelta(seconds=30) if spec.form is Form.SERVICE else run * 4 + self.tuning.interval
+        age = max(self.clock.today() - job.accepted_at, ZERO)
+        zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
+        return Bag(
+            id=job.id,
+            size=Size(spec.cpus, spec.gpus, spec.memory_gb),
+            ready=1 if held else ready,
+            unready=0,
+            total=spec.tasks,
+            run=run,
+            due=now + limit - age - self.params.workers.report,
+            image=spec.image,
+            image_gb=spec.image_gb,
+            allowed=self._allowed(job, zones if spec.one_zone else set()),
+            rank=(0 if job.id in self.guaranteed else 1, RANKS[spec.priority]),
+            one_zone=spec.one_zone and not zones,
+            zone_room=self._zone_room(job) if spec.spread else None,
+            team=spec.team,
+            held=held,
+        )
+
+    def _allowed(self, job: Job, zones: set[str]) -> Callable[[Kind], bool]:
+        spec = job.spec
+        types: dict[str, MachineType] = self.keeper.types
+        fits = {name for name, model in types.items() if allowed(spec, model)}
+
+        def check(kind: Kind) -> bool:
+            if kind.type not in fits or (kind.spot and not spec.spot):
+                return False
+            if spec.zone is not None and kind.zone != spec.zone:
+                return False
+            return not zones or zones == {kind.zone}
+
+        return check
+
+    def _zone_room(self, job: Job) -> dict[str, int]:
+        most = -(-job.spec.tasks // 2)
+        room = {zone: most for model in self.keeper.types.values() for zone in model.zones}
+        for placement in job.placements():
+            room[placement.zone] = room.get(placement.zone, most) - 1
+        return room
+
+    def _offers(self) -> list[Offer]:
+        result = []
+        for model in self.keeper.types.values():
+            for zone in model.zones:
+                for spot in (True, False):
+                    kind = Kind(model.name, zone, spot)
+                    if (spot and model.spot_price is None) or not self.keeper.offered(kind):
+                        continue
+                    capacity = Size(model.cpus, model.gpus, model.memory_gb)
+                    boot = model.boot * 1.25
+                    result.append(Offer(kind, capacity, model.hourly(spot), boot, model.fetch_gb_per_s, MOST_RENTED))
+        return result
+
+    def _team_room(self) -> dict[str, Size | None]:
+        used: dict[str, list[float]] = {}
+        for job in self.jobs.values():
+            count = job.on_machines()
+            total = used.setdefault(job.spec.team, [0.0, 0.0])
+            total[0] += job.spec.cpus * count
+            total[1] += job.spec.gpus * count
+        room: dict[str, Size | None] = {}
+        for team in self.params.teams:
+            cpus, gpus = used.get(team.name, [0.0, 0.0])
+            if team.cpus_max <= 0 and team.gpus_max <= 0:
+                room[team.name] = None
+                continue
+            room[team.name] = Size(
+                team.cpus_max - cpus if team.cpus_max > 0 else NO_LIMIT,
+                team.gpus_max - gpus if team.gpus_max > 0 else NO_LIMIT,
+                NO_LIMIT,
+            )
+        return room
+
+    @property
+    def guaranteed(self) -> set[str]:
+        """Jobs that, with the earlier unfinished jobs of their team, fit into the team's guarantee."""
+        result: set[str] = set()
+        for team in self.params.teams:
+            if team.cpus <= 0 and team.gpus <= 0:
+                continue
+            cpus = gpus = 0.0
+            for job in self._in_order():
+                if job.spec.team != team.name or job.cancelled or job.over:
+                    continue
+                left = job.spec.tasks - job.done
+                cpus += job.spec.cpus * left
+                gpus += job.spec.gpus * left
+                if cpus <= team.cpus + 1e-9 and gpus <= team.gpus + 1e-9:
+                    result.add(job.id)
+        return result
+
+    # what the plan changes
+
+    def _place(self, job: Job, name: str, count: int) -> None:
+        machine = self.roster.get(name)
+        if machine is None or machine.kind is None:
+            return
+        today = self.clock.today()
+        limit = int(self.params.state.value_kb * 1024)
+        for page in job.free_tasks():
+            for task in page.free():
+                if count <= 0 or page.size_bound() + len(name) + 40 > limit:
+                    break
+                placement = page.place(task, name, machine.session, machine.kind.zone, today)
+                machine.placements[(job.id, task)] = placement
+                count -= 1
+            self.mark(page)
+            if count <= 0:
+                return
--- /dev/null
+++ b/dappledrum/fleet/cloud.py
@@ -0,0 +1,92 @@
+"""Client of the cloud, within its call rate."""
+
+import asyncio
+import logging
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.fleet.messages import (
+    Catalog,
+    ListedMachine,
+    MachineList,
+    MachineNames,
+    MachineType,
+    RentalRequest,
+)
+from dappledrum.http.client import Caller, NoResponseError, Reply
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+PATIENCE = timedelta(seconds=4)
+
+
+class CloudError(Exception):
+    """The cloud did not do it, or nobody knows whether it did."""
+
+
+class NoCapacityError(CloudError):
+    """There are no machines of this kind at the moment."""
+
+
+class Cloud:
+    """Paced requests to the cloud."""
+
+    def __init__(self, caller: Caller, rps: float, clock: Clock) -> None:
+        self.caller = caller
+        self.gap = timedelta(seconds=1 / rps)
+        self.clock = clock
+        self.next_at = ZERO
+
+    async def _call(self, method: str, path: str, body: bytes | None) -> Reply:
+        now = self.clock.now()
+        at = max(self.next_at, now)
+        self.next_at = at + self.gap
+        if at > now:
+            await asyncio.sleep((at - now).total_seconds())
+        try:
+            reply = await self.caller.request(method, path, body, PATIENCE)
+        except NoResponseError as error:
+            raise CloudError(str(error)) from error
+        if reply.status == 503 and b"no capacity" in reply.body:
+            raise NoCapacityError("no capacity")
+        if reply.status != 200:
+            if reply.status == 429:
+                self.next_at = max(self.next_at, self.clock.now() + self.gap * 2)
+            raise CloudError(f"status {reply.status}: {reply.body[:100]!r}")
+        return reply
+
+    @staticmethod
+    def _decode(reply: Reply, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise CloudError(f"unusable answer: {error}") from error
+
+    async def catalog(self) -> list[MachineType]:
+        """Machine types with their current prices."""
+        return self._decode(await self._call("GET", "/catalog", None), Catalog).types
+
+    async def rent(self, request: RentalRequest) -> list[str]:
+        """Rent machines; fewer than asked for may come."""
+        reply = await self._call("POST", "/rentals", msgspec.json.encode(request))
+        return self._decode(reply, MachineNames).machines
+
+    async def give_back(self, machines: list[str]) -> None:
+        """Return machines; when this ends well they are gone."""
+        await self._call("POST", "/rentals/return", msgspec.json.encode(MachineNames(machines)))
+
+    async def machines(self) -> list[ListedMachine]:
+        """All machines, as they were some time ago."""
+        result: list[ListedMachine] = []
+        after = ""
+        while True:
+            since = f"from={after}&" if after else ""
+            page = self._decode(await self._call("GET", f"/rentals?{since}page=500", None), MachineList)
+            result += page.machines
+            if not page.more or not page.machines:
+                return result
+            after = page.machines[-1].id
--- /dev/null
+++ b/dappledrum/fleet/keeper.py
@@ -0,0 +1,233 @@
+"""Loops that bring the rented machines in line with what is wanted."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.fleet.cloud import Cloud, CloudError, NoCapacityError
+from dappledrum.fleet.messages import ListedMachine, MachineType, RentalRequest
+from dappledrum.scheduling.lanes import Kind
+from dappledrum.settings import Params
+from dappledrum.workers.bookkeeping import Bookkeeper
+from dappledrum.workers.roster import Machine, Roster
+
+log = logging.getLogger(__name__)
+
+RENT_MOST = 50
+RETURN_MOST = 100
+ASIDE = timedelta(seconds=8)
+ASIDE_MOST = timedelta(seconds=60)
+BOOT_FACTOR = 1.25  # boots take 0.6 to 1.5 times the nominal time
+OVERDUE_FACTOR = 3.0
+OVERDUE_FLOOR = timedelta(seconds=20)
+
+
+class Keeper:
+    """The leader's hands on the fleet, for one term."""
+
+    def __init__(
+        self,
+        cloud: Cloud,
+        roster: Roster,
+        bookkeeper: Bookkeeper,
+        params: Params,
+        clock: Clock,
+        epoch: int,
+        interval: timedelta,
+        leading: Callable[[], bool],
+        wake: Callable[[str], None],
+    ) -> None:
+        self.cloud = cloud
+        self.roster = roster
+        self.bookkeeper = bookkeeper
+        self.params = params
+        self.clock = clock
+        self.epoch = epoch
+        self.interval = interval
+        self.leading = leading
+        self.wake = wake
+        self.types: dict[str, MachineType] = {}
+        self.wanted: dict[Kind, int] = {}  # from the newest plan
+        self.needed: set[str] = set()  # machines that the newest plan counts on
+        self.aside: dict[Kind, tuple[timedelta, timedelta]] = {}  # until when, and for how long it was
+        self.counter = 0
+        self.listed = False
+        self.planned = False
+        self.asked = asyncio.Event()
+
+    # what the planner wants to know
+
+    def offered(self, kind: Kind) -> bool:
+        """Whether a kind of machine may be asked for now."""
+        until = self.aside.get(kind)
+        return until is None or self.clock.now() >= until[0]
+
+    def ready_at(self, machine: Machine) -> timedelta:
+        """When a booting machine is expected to be up."""
+        boot = self._boot(machine)
+        now = self.clock.now()
+        expected = machine.rented_at + boot * BOOT_FACTOR
+        return expected if expected > now else now + boot * 0.3
+
+    def _boot(self, machine: Machine) -> timedelta:
+        kind = self.types.get(machine.kind.type) if machine.kind is not None else None
+        return kind.boot if kind is not None else timedelta(seconds=60)
+
+    def overdue(self, machine: Machine) -> bool:
+        """The machine should have been up long ago, and may never come up."""
+        boot = self._boot(machine)
+        limit = max(boot * OVERDUE_FACTOR, boot + OVERDUE_FLOOR)
+        return not machine.up and self.clock.now() - machine.rented_at > limit
+
+    def order(self, rentals: dict[Kind, int], needed: set[str]) -> None:
+        """Replace what is wanted by a newer plan."""
+        self.wanted = rentals
+        self.needed = needed
+        self.planned = True
+        if rentals:
+            self.asked.set()
+
+    # renting
+
+    async def rent_loop(self) -> None:
+        """Ask for what the newest plan wants, one kind at a time."""
+        while True:
+            await self.asked.wait()
+            self.asked.clear()
+            while self.wanted and self.leading():
+                kind = max(self.wanted, key=lambda k: self.wanted[k])
+                count = min(self.wanted.pop(kind), RENT_MOST)
+                if count > 0 and self.offered(kind):
+                    await self._rent(kind, count)
+
+    async def _rent(self, kind: Kind, count: int) -> None:
+        self.counter += 1
+        request = RentalRequest(f"r-{self.epoch}-{self.counter}", kind.type, kind.zone, kind.spot, count)
+        sent = self.clock.now()
+        try:
+            names = await self.cloud.rent(request)
+        except NoCapacityError:
+            self._set_aside(kind)
+            self.wake("refused")
+            return
+        except CloudError as error:
+            # It may have worked: then the machines turn up in the list, and are used or returned.
+            log.warning("rental of %d %s unanswered: %s", count, kind, error)
+            self.aside[kind] = (self.clock.now() + timedelta(seconds=3), timedelta(seconds=3))
+            self.wake("rental failed")
+            return
+        log.info("rented %d of %d %s (%s)", len(names), count, kind, ", ".join(names))
+        for name in names:
+            if name not in self.roster.gone:
+                self.roster.ensure(name, kind, sent).rented_at = sent
+        if len(names) < count:
+            self._set_aside(kind)
+        else:
+            self.aside.pop(kind, None)
+        self.wake("rented")
+
+    def _set_aside(self, kind: Kind) -> None:
+        _, before = self.aside.get(kind, (ZERO, ZERO))
+        span = min(max(before * 2, ASIDE), ASIDE_MOST)
+        self.aside[kind] = (self.clock.now() + span, span)
+        log.info("no more %s for now, set aside for %.0f s", kind, span.total_seconds())
+
+    # returning
+
+    async def return_loop(self) -> None:
+        """Give back what is idle at the end of its interval, overdue, failed or drained."""
+        while True:
+            await asyncio.sleep(0.5)
+            if not self.leading():
+                continue
+            for machine in self.roster:
+                why = None if machine.returning else self._why_return(machine)
+                if why is not None:
+                    log.info("returning %s: %s", machine.name, why)
+                    machine.returning = True
+            names = [m.name for m in self.roster if m.returning][:RETURN_MOST]
+            if names:
+                try:
+                    await self.cloud.give_back(names)
+                except CloudError as error:
+                    log.warning("return of %d machines unanswered: %s", len(names), error)
+                    await asyncio.sleep(1)
+                    continue
+                for name in names:
+                    machine = self.roster.get(name)
+                    if machine is not None:
+                        self.bookkeeper.returned(machine)
+
+    def _why_return(self, machine: Machine) -> str | None:
+        now = self.clock.now()
+        if machine.failed:
+            return "it stopped on its own"
+        if machine.placements:
+            return None
+        if self.overdue(machine):
+            return "it does not come up"
+        lease = self.params.workers.lease
+        if machine.up and machine.expired(now, lease + timedelta(seconds=20)) and self._connected(now):
+            return "it is silent"
+        if machine.draining and machine.up:
+            return "it is unhealthy"
+        if not machine.up or not self.planned or machine.name in self.needed:
+            return None
+        left = self.interval - (now - machine.rented_at) % self.interval
+        return "it is idle at the end of its interval" if left <= timedelta(seconds=1) else None
+
+    def _connected(self, now: timedelta) -> bool:
+        """Most machines report, so one that does not is to blame itself."""
+        up = [m for m in self.roster if m.up]
+        heard = sum(not m.silent(now, self.params.workers.report) for m in up)
+        return heard * 2 > len(up)
+
+    # watching
+
+    async def list_loop(self) -> None:
+        """Compare with the cloud's list, which lags behind."""
+        pause = max(self.params.cloud.list_lag / 2, timedelta(seconds=3))
+        while True:
+            if self.leading():
+                try:
+                    self._reconcile(await self.cloud.machines())
+                except CloudError as error:
+                    log.info("no machine list: %s", error)
+            await asyncio.sleep(pause.total_seconds())
+
+    def _reconcile(self, listed: list[ListedMachine]) -> None:
+        now = self.clock.now()
+        for item in listed:
+            if item.id in self.roster.gone:
+                continue
+            machine = self.roster.get(item.id)
+            if machine is None:
+                log.info("%s is in the list (%s), taken on", item.id, item.state)
+                machine = self.roster.ensure(item.id, None, now)
+            if machine.listed_at is None and machine.rented_at == machine.seen_at:
+                machine.rented_at = min(machine.rented_at, now - timedelta(seconds=item.age_s))
+            if machine.kind is None:
+                machine.kind = Kind(item.type, item.zone, item.spot)
+            machine.listed_at = now
+            machine.failed |= item.state == "failed"
+        if not self.listed:
+            self.listed = True
+            self.wake("first list")
+        stale = 3 * self.params.cloud.list_lag + timedelta(seconds=10)
+        for machine in self.roster:
+            known = machine.listed_at if machine.listed_at is not None else machine.rented_at
+            unheard = machine.last_report is None or now - machine.last_report > stale
+            if not machine.placements and now - known > stale and unheard:
+                log.info("%s is not in the list any more", machine.name)
+                self.roster.drop(machine.name)
+
+    async def catalog_loop(self) -> None:
+        """Keep the prices current."""
+        while True:
+            await asyncio.sleep(30)
+            try:
+                self.types = {t.name: t for t in await self.cloud.catalog()}
+            except CloudError as error:
+                log.info("no catalog: %s", error)
--- /dev/null
+++ b/dappledrum/http/server.py
@@ -0,0 +1,217 @@
+"""HTTP server as an asyncio protocol.
+
+Everything a stranger can get wrong is bounded here: size of head and body, time to send a request, number of
+sockets. One connection's trouble never touches another.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+REQUEST_TIME = timedelta(seconds=10)
+IDLE_TIME = timedelta(seconds=120)
+
+
+class Request(NamedTuple):
+    """One complete request."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+class Response(NamedTuple):
+    """An answer; the body is JSON unless said otherwise."""
+
+    status: int
+    body: bytes = b"{}"
+    retry_after: int | None = None
+    content_type: str = "application/json"
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def encode(response: Response, keep: bool) -> bytes:
+    """The response as it goes over the wire."""
+    try:
+        phrase = HTTPStatus(response.status).phrase
+    except ValueError:
+        phrase = "Status"
+    retry = f"Retry-After: {response.retry_after}\r\n" if response.retry_after is not None else ""
+    end = "" if keep else "Connection: close\r\n"
+    head = (
+        f"HTTP/1.1 {response.status} {phrase}\r\nContent-Type: {response.content_type}\r\n"
+        f"Content-Length: {len(response.body)}\r\n{retry}{end}\r\n"
+    )
+    return head.encode("latin-1") + response.body
+
+
+class Server:
+    """Listens on one address and hands complete requests to a handler."""
+
+    def __init__(self, handler: Handler, max_connections: int) -> None:
+        self.handler = handler
+        self.max_connections = max_connections
+        self.connections: dict[Connection, None] = {}
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Begin to listen; returns the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=256, reuse_address=True)
+        self._sweeper = loop.create_task(self._sweep())
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """Stop listening and drop every connection."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(1)
+            now = asyncio.get_running_loop().time()
+            for connection in [c for c in self.connections if c.deadline < now]:
+                connection.expire()
+
+    def admit(self, connection: "Connection") -> bool:
+        """Take a new connection; when full, the one idle for longest has to go."""
+        if len(self.connections) >= self.max_connections:
+            idle = [c for c in self.connections if c.idle]
+            if not idle:
+                return False
+            min(idle, key=lambda c: c.since).abort()
+        self.connections[connection] = None
+        return True
+
+
+class Connection(asyncio.Protocol):
+    """One client connection; requests come one after the other."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.idle = True
+        self.since = 0.0
+        self.deadline = 0.0
+        self.url = b""
+        self.head = 0
+        self.body = bytearray()
+        self.refusal: Response | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._rest()
+        if not self.server.admit(self):
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.connections.pop(self, None)
+        self.transport = None
+
+    def data_received(self, data: bytes) -> None:
+        if self.task is not None:
+            self.head += len(data)
+            if self.head > MAX_HEAD + MAX_BODY:
+                self.abort()
+                return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+
+    def on_message_begin(self) -> None:
+        self.idle = False
+        self.since = asyncio.get_running_loop().time()
+        self.deadline = self.since + REQUEST_TIME.total_seconds()
+        self.url = b""
+        self.head = 0
+        self.body = bytearray()
+        self.refusal = None
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        self._count(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count(len(name) + len(value))
+
+    def on_body(self, body: bytes) -> None:
+        if self.refusal is None and len(self.body) + len(body) > MAX_BODY:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif self.refusal is None:
+            self.body += body
+
+    def on_message_complete(self) -> None:
+        if self.refusal is not None:
+            return
+        if self.task is not None:
+            self._refuse(HTTPStatus.BAD_REQUEST)  # pipelining is not spoken here
+            return
+        request = Request(self.parser.get_method().decode("latin-1"), self.url.decode("latin-1"), bytes(self.body))
+        self.deadline = float("inf")
+        self.task = asyncio.get_running_loop().create_task(self._answer(request, self.parser.should_keep_alive()))
+
+    async def _answer(self, request: Request, keep: bool) -> None:
+        try:
+            response = await self.server.handler(request)
+        except Exception:  # a bad request must not end the process, whatever it was
+            log.exception("%s %s failed", request.method, request.path)
+            response = Response(HTTPStatus.INTERNAL_SERVER_ERROR)
+        self.task = None
+        if self.transport is None:
+            return
+        self.transport.write(encode(response, keep))
+        if keep:
+            self._rest()
+        else:
+            self.transport.close()
+
+    def _count(self, size: int) -> None:
+        self.head += size
+        if self.head > MAX_HEAD:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _refuse(self, status: int) -> None:
+        if self.refusal is None and self.transport is not None:
+            self.refusal = Response(status)
+            self.transport.write(encode(self.refusal, keep=False))
+            self.transport.close()
+
+    def _rest(self) -> None:
+        self.idle = True
+        self.since = asyncio.get_running_loop().time()
+        self.deadline = self.since + IDLE_TIME.total_seconds()
+
+    def expire(self) -> None:
+        """Time is up: a half-sent request is told so, an idle connection is just closed."""
+        if self.idle:
+            self.abort()
+        else:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.server.connections.pop(self, None)
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/dappledrum/jobs/intake.py
@@ -0,0 +1,215 @@
+"""What users ask for. Any controller serves it, straight from the state service.
+
+Nothing is answered from memory but final states: whoever has been told something by one controller must not be told
+anything older by another, so each answer rests on a read that began after its request came in.
+"""
+
+import asyncio
+import logging
+from collections import OrderedDict
+from datetime import timedelta
+from http import HTTPStatus
+from typing import TypeVar
+
+import msgspec
+
+from dappledrum.clock import Clock
+from dappledrum.fleet.messages import MachineType
+from dappledrum.http.server import Response
+from dappledrum.jobs.messages import Answer, EndedRecord, Form, JobRecord, Outcome, PageRecord, Spec
+from dappledrum.jobs.record import PAGE, ended_key, head_key
+from dappledrum.settings import Params
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import ConflictError, RefusedError, State, StateError, raw
+from dappledrum.state.messages import Guard, Put
+
+log = logging.getLogger(__name__)
+
+READ_PATIENCE = timedelta(seconds=1)
+KEPT = 20_000
+Found = tuple[JobRecord, int] | EndedRecord | None
+
+T = TypeVar("T")
+
+
+def answer(status: int, body: Answer) -> Response:
+    """A response to a user."""
+    return Response(status, msgspec.json.encode(body))
+
+
+def busy(seconds: int = 1) -> Response:
+    """Not now: said at once, with the time to come back."""
+    return Response(HTTPStatus.SERVICE_UNAVAILABLE, b'{"error":"try again"}', retry_after=seconds)
+
+
+def refusal(status: int, why: str) -> Response:
+    """A request that will never be served."""
+    return Response(status, msgspec.json.encode({"error": why}))
+
+
+def unservable(spec: Spec, params: Params, types: list[MachineType]) -> str | None:
+    """Why a job can never run, or None when it can."""
+    team = next((t for t in params.teams if t.name == spec.team), None)
+    if team is None:
+        return f"unknown team {spec.team}"
+    at_once = spec.tasks if spec.form is Form.SERVICE else 1
+    for amount, limit, name in ((spec.cpus, team.cpus_max, "cpus"), (spec.gpus, team.gpus_max, "gpus")):
+        if limit > 0 and amount * at_once > limit + 1e-9:
+            return f"needs more {name} than the team's limit"
+    if not any(allowed(spec, t) for t in types):
+        return "a task fits no allowed machine type"
+    return None
+
+
+def allowed(spec: Spec, kind: MachineType) -> bool:
+    """Whether an empty machine of this type could run a task of the job."""
+    if spec.types is not None and kind.name not in spec.types:
+        return False
+    if spec.zone is not None and spec.zone not in kind.zones:
+        return False
+    return spec.cpus <= kind.cpus and spec.gpus <= kind.gpus and spec.memory_gb <= kind.memory_gb
+
+
+class Intake:
+    """Submissions, polls and cancellations."""
+
+    def __init__(self, state: State, params: Params, clock: Clock) -> None:
+        self.state = state
+        self.params = params
+        self.clock = clock
+        self.types: list[MachineType] | None = None
+        self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
+        self._polls: dict[str, asyncio.Task[Found]] = {}
+
+    def remember(self, job: str, record: EndedRecord) -> None:
+        """Keep a final state; it never changes again."""
+        self.ended[job] = record
+        while len(self.ended) > KEPT:
+            self.ended.popitem(last=False)
+
+    async def submit(self, body: bytes) -> Response:
+        """POST /submissions."""
+        try:
+            spec = msgspec.json.decode(body, type=Spec)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return refusal(HTTPStatus.BAD_REQUEST, str(error))
+        if spec.types is not None and len(msgspec.json.encode(spec)) > self.params.state.value_kb * 256:
+            return refusal(HTTPStatus.BAD_REQUEST, "list of machine types too long")
+        if spec.id in self.ended:
+            return self._present(spec.id, self.ended[spec.id], HTTPStatus.OK)
+        try:
+            return await self._submit(spec)
+        except StateError as error:
+            log.info("submission %s not taken: %s", spec.id, error)
+            return busy()
+
+    async def _submit(self, spec: Spec) -> Response:
+        why = unservable(spec, self.params, self.types) if self.types is not None else "unknown types"
+        if why is not None:
+            # Accepted once means accepted for ever, so look before refusing.
+            found = await self.find(spec.id, Rank.INTAKE)
+            if found is not None:
+                return self._present(spec.id, found, HTTPStatus.OK)
+            return busy(2) if self.types is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
+        if self.state.busy_for(Rank.INTAKE, writes=1) > timedelta(seconds=0.3):
+            return busy()
+        page = PageRecord()
+        record = JobRecord(spec, round(self.clock.today().timestamp() * 1000), PAGE, page)
+        guards = [Guard(head_key(spec.id), 0), Guard(ended_key(spec.id), 0)]
+        try:
+            await self.state.commit(guards, [Put(head_key(spec.id), raw(record))], Rank.INTAKE)
+        except ConflictError:
+            found = await self.find(spec.id, Rank.INTAKE)
+            return busy() if found is None else self._present(spec.id, found, HTTPStatus.OK)
+        log.info("accepted %s: %d tasks of %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
+        return answer(HTTPStatus.CREATED, Answer(spec.id, Outcome.QUEUED))
+
+    async def poll(self, job: str) -> Response:
+        """GET /submissions/{id}."""
+        known = self.ended.get(job)
+        if known is not None:
+            return self._present(job, known, HTTPStatus.OK)
+        try:
+            found = await self._shared(job)
+        except StateError as error:
+            log.debug("poll of %s not answered: %s", job, error)
+            return busy()
+        if found is None:
+            return refusal(HTTPStatus.NOT_FOUND, "no such job")
+        return self._present(job, found, HTTPStatus.OK)
+
+    async def _shared(self, job: str) -> Found:
+        """One read for all polls that were waiting when it began."""
+        running = self._polls.get(job)
+        if running is not None:
+            # That read began before this request, so only the next one will do; those who wait share it.
+            await asyncio.wait([running])
+            again = self._polls.get(job)
+            if again is not None and again is not running:
+                return await asyncio.shield(again)
+        task = asyncio.get_running_loop().create_task(self.find(job, Rank.POLL))
+        self._polls[job] = task
+        try:
+            return await asyncio.shield(task)
+        finally:
+            if self._polls.get(job) is task:
+                del self._polls[job]
+
+    async def cancel(self, job: str) -> Response:
+        """POST /submissions/{id}/cancel."""
+        try:
+            for _ in range(6):
+                found = self.ended.get(job) or await self.find(job, Rank.INTAKE)
+                if found is None:
+                    return refusal(HTTPStatus.NOT_FOUND, "no such job")
+                if isinstance(found, EndedRecord) or found[0].cancelled:
+                    return self._present(job, found, HTTPStatus.OK, brief=True)
+                record, version = found
+                record.cancelled = True
+                if self.state.busy_for(Rank.INTAKE, writes=1) > timedelta(seconds=0.3):
+                    return busy()
+                try:
+                    guards = [Guard(head_key(job), version), Guard(ended_key(job), 0)]
+                    await self.state.commit(guards, [Put(head_key(job), raw(record))], Rank.INTAKE)
+                except ConflictError:
+                    continue
+                log.info("cancelled %s", job)
+                return answer(HTTPStatus.OK, Answer(job, Outcome.CANCELLED))
+        except StateError as error:
+            log.info("cancellation of %s not taken: %s", job, error)
+        return busy()
+
+    async def find(self, job: str, rank: Rank) -> Found:
+        """Read a job. It moves from live to ended only, so the live key is read first; both absent: never accepted."""
+        wait = self.state.busy_for(rank)
+        if wait > READ_PATIENCE / 2:
+            raise RefusedError("over the share of requests")
+        entry = await self.state.get(head_key(job), rank, READ_PATIENCE)
+        if entry is not None:
+            return self._decode(entry.value, JobRecord), entry.version
+        entry = await self.state.get(ended_key(job), rank, READ_PATIENCE)
+        if entry is None:
+            return None
+        record = self._decode(entry.value, EndedRecord)
+        self.remember(job, record)
+        return record
+
+    @staticmethod
+    def _decode(value: msgspec.Raw, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(value, type=kind)
+        except msgspec.DecodeError as error:
+            raise StateError(f"unusable record: {error}") from error
+
+    def _present(self, job: str, found: Found, status: int, brief: bool = False) -> Response:
+        if isinstance(found, EndedRecord):
+            body = Answer(job, found.state, found.tasks if found.state is Outcome.DONE else None, 0)
+        else:
+            assert found is not None
+            record, _ = found
+            running = sum(len(row[3]) for row in record.page.places)
+            state = Outcome.RUNNING if running else Outcome.QUEUED
+            body = Answer(job, Outcome.CANCELLED if record.cancelled else state, record.done, running)
+        if brief:
+            body = Answer(job, body.state)
+        return answer(status, body)
--- /dev/null
+++ b/dappledrum/jobs/messages.py
@@ -0,0 +1,140 @@
+"""Submissions and answers as users see them, and records as the state service keeps them."""
+
+from datetime import timedelta
+from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from dappledrum.clock import seconds
+
+MAX_TASKS = 100_000
+
+JobId = Annotated[str, Meta(pattern=r"^j-[0-9]{1,30}$")]
+Label = Annotated[str, Meta(min_length=1, max_length=200)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+
+
+class Form(StrEnum):
+    """What kind of job it is."""
+
+    ARRAY = "batch"
+    SERVICE = "service"
+
+
+class Priority(StrEnum):
+    """Priority of a job."""
+
+    PRODUCTION = "prod"
+    HIGH = "high"
+    NORMAL = "standard"
+    LOW = "best_effort"
+
+
+RANKS = {Priority.PRODUCTION: 0, Priority.HIGH: 1, Priority.NORMAL: 2, Priority.LOW: 3}
+
+
+class Outcome(StrEnum):
+    """State of a job as users see it."""
+
+    QUEUED = "pending"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+class Spec(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "job_class": "pattern",
+        "team": "crew",
+        "priority": "urgency",
+        "tasks": "beats",
+        "cpus": "vcpus",
+        "gpus": "accelerators",
+        "memory_gb": "memGb",
+        "image": "skin",
+        "image_gb": "pullGb",
+        "types": "builds",
+        "zone": "hall",
+        "one_zone": "oneZone",
+        "spot": "loaners",
+        "estimate_s": "expectedS",
+        "checkpoint_s": "markEveryS",
+        "save_s": "markTakeS",
+        "deadline_s": "dueS",
+    },
+):
+    """A submission."""
+
+    id: JobId
+    job_class: Label
+    team: Label
+    form: Form
+    priority: Priority
+    tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
+    cpus: Amount
+    gpus: Amount
+    memory_gb: Amount
+    image: Label
+    image_gb: Amount
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: Amount
+    checkpoint_s: Amount
+    save_s: Amount
+    types: Annotated[list[Label], Meta(max_length=64)] | None = None
+    zone: Label | None = None
+    deadline_s: Amount | None = None
+
+    @property
+    def estimate(self) -> timedelta:
+        """The owner's estimate of a task's run time."""
+        return seconds(self.estimate_s)
+
+    @property
+    def save(self) -> timedelta:
+        """Time a task needs to save when it is stopped."""
+        return seconds(self.save_s)
+
+
+class Answer(msgspec.Struct, rename={"state": "stance"}, omit_defaults=True):
+    """Answer to a user."""
+
+    id: str
+    state: Outcome
+    done: int | None = None
+    running: int | None = None
+
+
+class PageRecord(msgspec.Struct, array_like=True):
+    """Progress of a range of tasks: next attempt, bitmap of done tasks in hex, and placements.
+
+    A placement row is `[machine, session, zone, [[task, attempt, seconds since acceptance], ...]]`, with the task
+    counted from the start of the page.
+    """
+
+    attempt: int = 1
+    done: str = "0"
+    places: list[tuple[str, int, str, list[tuple[int, int, int]]]] = []
+
+
+class JobRecord(msgspec.Struct):
+    """Value of `job/<id>`: what was submitted, when, and the progress of the first page."""
+
+    spec: Spec
+    at_ms: int
+    size: int  # tasks in a page
+    page: PageRecord
+    cancelled: bool = False
+    done: int = 0  # tasks done in all pages
+
+
+class EndedRecord(msgspec.Struct):
+    """Value of `ended/<id>`: all that must be kept of a job that is over."""
+
+    state: Outcome
+    tasks: int
--- /dev/null
+++ b/dappledrum/jobs/record.py
@@ -0,0 +1,256 @@
+"""A job in the leader's memory, and its pages, the units in which progress is written.
+
+Every change of a page raises its revision. What a revision allows (sending a start, forgetting an end, calling the
+job done) must wait until a record of at least that revision is known to be stored.
+"""
+
+from collections.abc import Iterator
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+
+from dappledrum.clock import ZERO, seconds
+from dappledrum.jobs.messages import EndedRecord, Form, JobRecord, Outcome, PageRecord, Spec
+
+PAGE = 256
+
+
+def head_key(job: str) -> str:
+    """Key of a live job."""
+    return f"job/{job}"
+
+
+def page_key(job: str, index: int) -> str:
+    """Key of a further page of a live job."""
+    return f"page/{job}/{index}"
+
+
+def ended_key(job: str) -> str:
+    """Key of a job that is over."""
+    return f"ended/{job}"
+
+
+class Placement:
+    """One attempt of one task on one machine in one session."""
+
+    __slots__ = (
+        "attempt", "offered_tick", "placed_at", "revision", "running_at", "seen", "session", "stopping", "task",
+        "machine", "zone", "page", "lost",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        page: "Page",
+        task: int,
+        attempt: int,
+        machine: str,
+        session: int,
+        zone: str,
+        placed_at: datetime,
+    ) -> None:
+        self.page = page
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.session = session
+        self.zone = zone
+        self.placed_at = placed_at
+        self.revision = page.revision
+        self.seen = False  # a report has shown it
+        self.running_at: timedelta | None = None
+        self.offered_tick = -1  # tick of the newest report whose answer carried the start
+        self.stopping: timedelta | None = None  # when the first stop was sent
+        self.lost = False  # to be given up as soon as that is proven safe
+
+
+class Page:
+    """Progress of a range of tasks."""
+
+    def __init__(self, job: "Job", index: int) -> None:
+        self.job = job
+        self.index = index
+        self.first = index * job.page_size
+        self.count = min(job.page_size, job.spec.tasks - self.first)
+        self.attempt = 1
+        self.done = 0
+        self.places: dict[int, Placement] = {}
+        self.revision = 0
+        self.saved = 0
+        self.version = 0  # of the stored key; 0: not stored
+        self.uncertain = False  # the outcome of the last write is unknown: read before writing
+
+    @property
+    def key(self) -> str:
+        """Key that the page is stored under; the first page is part of the job's head."""
+        return head_key(self.job.id) if self.index == 0 else page_key(self.job.id, self.index)
+
+    @property
+    def dirty(self) -> bool:
+        """Something is not stored yet."""
+        return self.revision > self.saved
+
+    def touch(self) -> int:
+        """Note a change; returns the revision that has to be stored for it."""
+        self.revision += 1
+        return self.revision
+
+    def placed(self) -> int:
+        """Bitmap of the tasks that count as being on a machine."""
+        result = 0
+        for task in self.places:
+            result |= 1 << (task - self.first)
+        return result
+
+    def free(self) -> Iterator[int]:
+        """Tasks that are neither done nor on a machine."""
+        left = ~(self.done | self.placed()) & ((1 << self.count) - 1)
+        while left:
+            low = left & -left
+            yield self.first + low.bit_length() - 1
+            left ^= low
+
+    def size_bound(self) -> int:
+        """No stored form of the page with one placement more is longer than this."""
+        machines = {(p.machine, p.session) for p in self.places.values()}
+        names = sum(len(m) + 40 for m, _ in machines) + 120
+        spec = self.job.spec_bytes if self.index == 0 else 0
+        return spec + 200 + self.count // 4 + names + 26 * (len(self.places) + 1)
+
+    def place(self, task: int, machine: str, session: int, zone: str, now: datetime) -> Placement:
+        """Count a task as on a machine, before its start may be sent."""
+        attempt = self.attempt
+        self.attempt += 1
+        self.touch()
+        placement = Placement(self, task, attempt, machine, session, zone, now)
+        self.places[task] = placement
+        return placement
+
+    def remove(self, task: int) -> None:
+        """The attempt is proven gone."""
+        if self.places.pop(task, None) is not None:
+            self.touch()
+
+    def finish(self, task: int) -> None:
+        """The task has completed."""
+        bit = 1 << (task - self.first)
+        if not self.done & bit:
+            self.done |= bit
+            self.job.done += 1
+            self.touch()
+
+    def is_done(self, task: int) -> bool:
+        """Whether the task has completed."""
+        return bool(self.done >> (task - self.first) & 1)
+
+    def to_record(self) -> PageRecord:
+        """The stored form."""
+        rows: dict[tuple[str, int, str], list[tuple[int, int, int]]] = {}
+        for placement in self.places.values():
+            since = int((placement.placed_at - self.job.accepted_at).total_seconds())
+            row = rows.setdefault((placement.machine, placement.session, placement.zone), [])
+            row.append((placement.task - self.first, placement.attempt, since))
+        places = [(machine, session, zone, row) for (machine, session, zone), row in rows.items()]
+        return PageRecord(self.attempt, f"{self.done:x}", places)
+
+    def load(self, record: PageRecord, version: int) -> None:
+        """Take over what a predecessor stored."""
+        self.attempt = record.attempt
+        self.done = int(record.done, 16) & ((1 << self.count) - 1)
+        self.version = version
+        for machine, session, zone, row in record.places:
+            for offset, attempt, since in row:
+                task = self.first + offset
+                at = self.job.accepted_at + timedelta(seconds=since)
+                self.places[task] = Placement(self, task, attempt, machine, session, zone, at)
+
+
+class Job:
+    """A live job."""
+
+    def __init__(self, record: JobRecord, version: int) -> None:
+        self.spec: Spec = record.spec
+        self.id = record.spec.id
+        self.page_size = record.size
+        self.accepted_at = datetime.fromtimestamp(record.at_ms / 1000, UTC)
+        self.cancelled = record.cancelled
+        self.done = 0
+        self.spec_bytes = len(msgspec.json.encode(record.spec))
+        self.pages: dict[int, Page] = {}
+        self.page(0).load(record.page, version)
+        self.done = self.pages[0].done.bit_count()
+        self.ending = False  # the transaction that ends it is on its way
+        self.over = False
+        self.errors: dict[str, int] = {}  # failures by machine, since the last success
+        self.retry_at = ZERO
+        self.full_pages = 0  # pages before this one hold nothing to start
+
+    @property
+    def page_count(self) -> int:
+        """Number of pages, stored or not."""
+        return -(-self.spec.tasks // self.page_size)
+
+    def page(self, index: int) -> Page:
+        """A page; pages come into being when they are first needed."""
+        page = self.pages.get(index)
+        if page is None:
+            page = self.pages[index] = Page(self, index)
+        return page
+
+    def page_of(self, task: int) -> Page:
+        """The page of a task."""
+        return self.page(task // self.page_size)
+
+    def add_page(self, index: int, record: PageRecord, version: int) -> None:
+        """Take over a further page that a predecessor stored."""
+        page = self.page(index)
+        page.load(record, version)
+        self.done += page.done.bit_count()
+
+    def placements(self) -> Iterator[Placement]:
+        """Every attempt that counts as on a machine."""
+        for page in self.pages.values():
+            yield from page.places.values()
+
+    def on_machines(self) -> int:
+        """Number of attempts that count as on a machine."""
+        return sum(len(page.places) for page in self.pages.values())
+
+    def waiting(self) -> int:
+        """Number of tasks to be started."""
+        return self.spec.tasks - self.done - self.on_machines()
+
+    def free_tasks(self) -> Iterator[Page]:
+        """Pages that may hold tasks to be started, in order."""
+        while self.full_pages < self.page_count - 1:
+            page = self.pages.get(self.full_pages)
+            if page is None or page.done.bit_count() < page.count:
+                break
+            self.full_pages += 1
+        for index in range(self.full_pages, self.page_count):
+            yield self.page(index)
+
+    def complete(self) -> bool:
+        """Every task has completed; a service never does."""
+        return self.spec.form is Form.ARRAY and self.done >= self.spec.tasks
+
+    def state(self) -> Outcome:
+        """State as users see it."""
+        if self.cancelled:
+            return Outcome.CANCELLED
+        return Outcome.RUNNING if self.on_machines() else Outcome.QUEUED
+
+    def head_record(self) -> JobRecord:
+        """Stored form of the head."""
+        at_ms = round(self.accepted_at.timestamp() * 1000)
+        page = self.page(0).to_record()
+        return JobRecord(self.spec, at_ms, self.page_size, page, self.cancelled, self.done)
+
+    def ended_record(self) -> EndedRecord:
+        """Stored form of the job when it is over."""
+        state = Outcome.CANCELLED if self.cancelled else Outcome.DONE
+        return EndedRecord(state, self.spec.tasks)
+
+    def deadline(self) -> datetime | None:
+        """The owner's deadline."""
+        due = self.spec.deadline_s
+        return None if due is None else self.accepted_at + seconds(due)
--- /dev/null
+++ b/dappledrum/jobs/recorder.py
@@ -0,0 +1,180 @@
+"""Writes the leader's changes to the state service, many pages in one transaction.
+
+Every transaction is guarded by the leader's key and by the version of each page. After a conflict or an unknown
+outcome the pages concerned are read again before they are written again; writing them moves their version on, so a
+delayed twin of the old transaction can't apply any more.
+"""
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from dappledrum.clock import Clock
+from dappledrum.jobs.messages import JobRecord
+from dappledrum.jobs.record import Job, Page, ended_key, head_key
+from dappledrum.leadership.elector import LEADER, Term
+from dappledrum.settings import StateLimits
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import TXN_BYTES, ConflictError, State, StateError, raw
+from dappledrum.state.messages import Delete, Guard, Put
+
+log = logging.getLogger(__name__)
+
+GATHER = timedelta(milliseconds=15)  # changes that come together are written together
+
+
+class Recorder:
+    """One for each term of leadership."""
+
+    def __init__(self, state: State, term: Term, limits: StateLimits, clock: Clock) -> None:
+        self.state = state
+        self.term = term
+        self.limits = limits
+        self.clock = clock
+        self.dirty: dict[Page, None] = {}
+        self.ending: dict[Job, None] = {}
+        self.garbage: OrderedDict[str, None] = OrderedDict()
+        self.wake = asyncio.Event()
+        self.saved = asyncio.Condition()
+        self.on_saved: Callable[[], None] = lambda: None
+        self.on_ended: Callable[[Job], None] = lambda job: None
+
+    def mark(self, page: Page) -> None:
+        """A page has changed, or its job is over."""
+        job = page.job
+        if job.over:
+            return
+        if job.complete() or (job.cancelled and not job.on_machines()):
+            self.ending[job] = None
+        elif page.dirty:
+            self.dirty[page] = None
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Write until the term is over."""
+        while not self.term.over.is_set():
+            await self.wake.wait()
+            self.wake.clear()
+            await asyncio.sleep(GATHER.total_seconds())
+            while (self.dirty or self.ending or self.garbage) and not self.term.over.is_set():
+                try:
+                    await self._flush()
+                except StateError as error:
+                    log.info("progress not written yet: %s", error)
+                    await asyncio.sleep(0.1)
+                except Exception:  # the loop must go on, else nothing is ever placed again
+                    log.exception("writing progress failed, going on")
+                    await asyncio.sleep(0.5)
+
+    async def _flush(self) -> None:
+        room = self._room()
+        if not self.dirty and not self.ending:
+            await self._collect(room)
+            return
+        pages: list[Page] = []
+        jobs: list[Job] = []
+        for job in list(self.ending):
+            if room >= 2 and await self._certain(job.page(0)):
+                jobs.append(job)
+                room -= 2
+        urgent = sorted(self.dirty, key=lambda p: all(q.revision <= p.saved for q in p.places.values()))
+        for page in urgent:
+            if page.job.over or page.job in self.ending:
+                del self.dirty[page]
+            elif room >= 1 and await self._certain(page):
+                pages.append(page)
+                room -= 1
+        if pages or jobs:
+            await self._write(pages, jobs)
+
+    def _room(self) -> int:
+        """Number of changes for the next transaction: what the rate allows now, but always a few."""
+        allowed = int(self.state.writes.level - 0.2 * self.state.writes.size)
+        return max(4, min(self.limits.txn_ops, allowed))
+
+    async def _write(self, pages: list[Page], jobs: list[Job]) -> None:
+        guards = [self.term.guard()]
+        changes: list[Put | Delete] = []
+        size = 0
+        written: list[tuple[Page, int]] = []
+        for job in jobs:
+            guards.append(Guard(head_key(job.id), job.page(0).version))
+            changes += [Delete(head_key(job.id)), Put(ended_key(job.id), raw(job.ended_record()))]
+            size += 600
+        for page in pages:
+            value = raw(page.job.head_record() if page.index == 0 else page.to_record())
+            if size + len(value) + 400 > TXN_BYTES and changes:
+                break
+            size += len(value) + 400
+            guards.append(Guard(page.key, page.version))
+            changes.append(Put(page.key, value))
+            written.append((page, page.revision))
+        try:
+            revision = await self.state.commit(guards, changes, Rank.RECORD)
+        except ConflictError as error:
+            if LEADER in error.failed:
+                log.warning("leader key changed, stepping down")
+                self.term.over.set()
+            failed = set(error.failed)
+            for page in [page for page, _ in written] + [job.page(0) for job in jobs]:
+                page.uncertain |= page.key in failed
+            return
+        except StateError:
+            for page in [page for page, _ in written] + [job.page(0) for job in jobs]:
+                page.uncertain = True
+            raise
+        for page, stored in written:
+            page.version = max(page.version, revision)
+            page.saved = max(page.saved, stored)
+            if not page.dirty:
+                self.dirty.pop(page, None)
+        for job in jobs:
+            self._ended(job)
+        await self._tell()
+
+    async def _tell(self) -> None:
+        self.on_saved()
+        async with self.saved:
+            self.saved.notify_all()
+
+    async def _certain(self, page: Page) -> bool:
+        """Make sure of the page's stored version; False when its job turns out to be over."""
+        if not page.uncertain:
+            return True
+        job = page.job
+        entry = await self.state.get(page.key, Rank.RECORD)
+        if entry is not None:
+            page.version = entry.version
+            if page.index == 0 and msgspec.json.decode(entry.value, type=JobRecord).cancelled and not job.cancelled:
+                job.cancelled = True
+                log.info("%s was cancelled meanwhile", job.id)
+        elif page.index == 0:
+            self._ended(job)  # only this leader's own ending removes a head
+            await self._tell()
+            return False
+        else:
+            page.version = 0
+        page.uncertain = False
+        return True
+
+    def _ended(self, job: Job) -> None:
+        if job.over:
+            return
+        job.over = True
+        self.ending.pop(job, None)
+        for page in job.pages.values():
+            self.dirty.pop(page, None)
+            if page.index > 0 and page.version:
+                self.garbage[page.key] = None
+        self.on_ended(job)
+
+    async def _collect(self, room: int) -> None:
+        """Remove pages of jobs that are over."""
+        keys = list(self.garbage)[: max(1, room // 2)]
+        await self.state.commit([self.term.guard()], [Delete(key) for key in keys], Rank.POLL)
+        for key in keys:
+            del self.garbage[key]
--- /dev/null
+++ b/dappledrum/node.py
@@ -0,0 +1,292 @@
+"""One controller: its interfaces, and the parts behind them."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from http import HTTPStatus
+
+import msgspec
+
+from dappledrum.clock import Clock
+from dappledrum.dispatch import Tuning
+from dappledrum.fleet.cloud import Cloud, CloudError
+from dappledrum.fleet.messages import Catalog, MachineType
+from dappledrum.http.client import Caller
+from dappledrum.http.server import Request, Response
+from dappledrum.jobs.intake import Intake, busy, refusal
+from dappledrum.jobs.record import Job
+from dappledrum.leader import Leader
+from dappledrum.leadership.elector import Elector
+from dappledrum.leadership.messages import PromiseReply
+from dappledrum.peers.client import Peers
+from dappledrum.peers.messages import (
+    Knocks,
+    KnocksReply,
+    MalformedError,
+    Promise,
+    Question,
+    Relay,
+    RelayReply,
+    Reply,
+    decode,
+    encode,
+)
+from dappledrum.settings import Settings
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import State, StateError, raw
+from dappledrum.state.messages import Guard, Put
+from dappledrum.workers.messages import Redirect, Report
+
+log = logging.getLogger(__name__)
+
+CATALOG = "catalog"
+LEADER_SHARE = 0.6
+RELAY_TIME = timedelta(milliseconds=900)
+KNOCK_TIME = timedelta(seconds=4)
+AVOID = timedelta(seconds=20)
+LIFE_MOST = timedelta(seconds=3)
+
+
+class Node:
+    """A controller; how it is connected is left to the caller, so tests can run several in one process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        tuning: Tuning,
+        clock: Clock,
+        rng: random.Random,
+        state: Caller,
+        cloud: Caller,
+        peers: dict[str, Caller],
+    ) -> None:
+        self.settings = settings
+        self.params = settings.params
+        self.tuning = tuning
+        self.clock = clock
+        self.rng = rng
+        self.state = State(state, self.params.state, clock, rng)
+        self.cloud = Cloud(cloud, self.params.cloud.rps * 0.9, clock)
+        self.peers = Peers(peers)
+        life = min(LIFE_MOST, self.params.workers.lease / 3)
+        self.elector = Elector(settings.member, self.state, clock, rng, life, self.peers.promise)
+        self.elector.on_change = self._leadership_changed
+        self.intake = Intake(self.state, self.params, clock)
+        self.leader: Leader | None = None
+        self.knocks: dict[str, timedelta] = {}
+        self.is_ready = False
+        self._term_begun = asyncio.Event()
+        self._set_share()
+
+    async def run(self) -> None:
+        """Everything that goes on by itself."""
+        await asyncio.gather(self.elector.run(), self._lead(), self._learn_types(), self._hear_workers())
+
+    def _set_share(self) -> None:
+        others = max(1, len(self.settings.seeds))
+        alone = not self.settings.seeds
+        share = 1.0 if alone else LEADER_SHARE if self.elector.term is not None else (1 - LEADER_SHARE) / others
+        self.state.set_share(share * 0.95)
+
+    def _leadership_changed(self) -> None:
+        self._set_share()
+        self._term_begun.set()
+
+    async def _lead(self) -> None:
+        """Run the leader's part for as long as each term lasts."""
+        while True:
+            await self._term_begun.wait()
+            self._term_begun.clear()
+            term = self.elector.term
+            if term is None or term.over.is_set():
+                continue
+            self.leader = Leader(
+                term, lambda: self.elector.leading() is not None, self.state, self.cloud, self.params, self.clock,
+                self.tuning, self.intake.types or [], self._job_ended,
+            )  # fmt: skip
+            try:
+                await self.leader.run()
+            except Exception:
+                log.exception("leading failed")
+                term.over.set()
+            finally:
+                self.leader = None
+
+    def _job_ended(self, job: Job) -> None:
+        self.intake.remember(job.id, job.ended_record())
+
+    async def _learn_types(self) -> None:
+        """Get the catalog once: from a record of it if there is one, since the cloud may be away."""
+        while True:
+            types = await self._stored_types() or await self._cloud_types()
+            if types:
+                self.intake.types = types
+                if self.leader is not None:
+                    self.leader.set_types(types)
+                    self.leader.wake("catalog")
+                log.info("machine types: %s", ", ".join(t.name for t in types))
+                return
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+
+    async def _stored_types(self) -> list[MachineType]:
+        try:
+            entry = await self.state.get(CATALOG, Rank.INTAKE)
+            self.is_ready = True
+            return msgspec.json.decode(entry.value, type=Catalog).types if entry is not None else []
+        except (StateError, msgspec.DecodeError) as error:
+            log.info("no stored catalog: %s", error)
+            return []
+
+    async def _cloud_types(self) -> list[MachineType]:
+        try:
+            types = await self.cloud.catalog()
+        except CloudError as error:
+            log.info("no catalog: %s", error)
+            return []
+        value = raw(Catalog(types))
+        if types and len(value) < self.params.state.value_kb * 1000:
+            try:
+                await self.state.commit([Guard(CATALOG, 0)], [Put(CATALOG, value)], Rank.INTAKE)
+            except StateError as error:
+                log.info("catalog not stored: %s", error)
+        return types
+
+    async def _hear_workers(self) -> None:
+        """A leader that no worker reaches, while they try elsewhere, is in the way."""
+        silence = max(self.params.workers.report * 3, timedelta(seconds=3))
+        while True:
+            await asyncio.sleep(1)
+            leader = self.leader
+            now = self.clock.now()
+            if leader is None or not leader.loaded.is_set() or self.elector.leading() is None:
+                continue
+            heard = max(self.knocks.values(), default=None)
+            began = leader.began
+            if now - began < silence or (heard is not None and now - heard < silence):
+                continue
+            elsewhere = await self.peers.knocks(KNOCK_TIME, timedelta(seconds=1))
+            if elsewhere and self.leader is leader:
+                self.elector.resign(f"no worker reaches this controller, {elsewhere} try others", AVOID)
+
+    # users and workers
+
+    async def serve(self, request: Request) -> Response:
+        """One request on the public address."""
+        path = request.path.partition("?")[0]
+        route = self._routes(path)
+        if route is None:
+            return refusal(HTTPStatus.NOT_FOUND, "no such path")
+        method, handler = route
+        if request.method != method:
+            return refusal(HTTPStatus.METHOD_NOT_ALLOWED, f"use {method}")
+        return await handler(request)
+
+    def _routes(self, path: str) -> tuple[str, Callable[[Request], Awaitable[Response]]] | None:
+        if path == "/hello":
+            return "POST", self._hello
+        if path == "/ready":
+            return "GET", self._ready
+        if path == "/submissions":
+            return "POST", self._for_user
+        parts = path.split("/")
+        if len(parts) == 3 and parts[1] == "submissions" and parts[2]:
+            return "GET", self._for_user
+        if len(parts) == 4 and parts[1] == "submissions" and parts[2] and parts[3] == "cancel":
+            return "POST", self._for_user
+        return None
+
+    async def _ready(self, _request: Request) -> Response:
+        """Ready once the state service was reached; an outage later on changes nothing, flapping is worse."""
+        return Response(HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def _for_user(self, request: Request) -> Response:
+        """Serve a user here, or through a peer while the state service does not serve this controller."""
+        if self.state.troubled():
+            relayed = await self._relay(request)
+            if relayed is not None:
+                return relayed
+            return await self._locally(request) if not self.state.hanging() else busy(2)
+        response = await self._locally(request)
+        if response.status == HTTPStatus.SERVICE_UNAVAILABLE and self.state.troubled():
+            return await self._relay(request) or response
+        return response
+
+    async def _locally(self, request: Request) -> Response:
+        parts = request.path.partition("?")[0].split("/")
+        if len(parts) == 2:
+            return await self.intake.submit(request.body)
+        if not parts[2].startswith("j-") or not parts[2][2:].isdigit() or len(parts[2]) > 32:
+            return refusal(HTTPStatus.NOT_FOUND, "no such job")
+        if len(parts) == 3:
+            return await self.intake.poll(parts[2])
+        return await self.intake.cancel(parts[2])
+
+    async def _relay(self, request: Request) -> Response | None:
+        """Ask the peers at the same time, and take the first answer that is one."""
+        question = Relay(request.method, request.path, request.body)
+        asked = [asyncio.ensure_future(self.peers.relay(member, question, RELAY_TIME)) for member in self.peers.callers]
+        try:
+            for done in asyncio.as_completed(asked):
+                reply = await done
+                if reply is not None and reply.status != HTTPStatus.SERVICE_UNAVAILABLE:
+                    return Response(reply.status, reply.body, reply.retry_after)
+        finally:
+            for task in asked:
+                task.cancel()
+        return None
+
+    async def _hello(self, request: Request) -> Response:
+        """A worker's report."""
+        try:
+            report = msgspec.json.decode(request.body, type=Report)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            log.warning("unusable report: %s", error)
+            return refusal(HTTPStatus.BAD_REQUEST, str(error))
+        now = self.clock.now()
+        self.knocks[report.machine] = now
+        if len(self.knocks) > 5_000:
+            self.knocks = {name: at for name, at in self.knocks.items() if now - at < timedelta(minutes=1)}
+        leader = self.leader
+        if leader is not None and self.elector.holding() is leader.term:
+            commands = await leader.report(report, lambda: self.elector.holding() is leader.term)
+            if commands is not None:
+                return Response(HTTPStatus.OK, msgspec.json.encode(commands))
+        known = self.elector.leader
+        if known is not None and known.member != self.settings.member:
+            return Response(HTTPStatus.MISDIRECTED_REQUEST, msgspec.json.encode(Redirect(known.member)))
+        return busy()
+
+    # peers
+
+    async def serve_peer(self, request: Request) -> Response:
+        """One request on the address for the other controllers."""
+        if request.path != "/peer":
+            return Response(HTTPStatus.NOT_FOUND)
+        try:
+            question = decode(request.body, Question)
+        except MalformedError as error:
+            log.warning("unusable message from a peer: %s", error)
+            return Response(HTTPStatus.BAD_REQUEST)
+        return Response(HTTPStatus.OK, encode(await self._answer(question)), content_type="application/cbor")
+
+    async def _answer(self, question: Question) -> Reply:
+        if isinstance(question, Relay):
+            if self.state.troubled():
+                return RelayReply(HTTPStatus.SERVICE_UNAVAILABLE, b"{}", 1)
+            response = await self._locally(Request(question.method, question.path, question.body))
+            return RelayReply(response.status, response.body, response.retry_after)
+        now = self.clock.now()
+        if isinstance(question, Knocks):
+            within = timedelta(milliseconds=min(max(question.within_ms, 0), 60_000))
+            return KnocksReply(sum(now - at <= within for at in self.knocks.values()))
+        assert isinstance(question, Promise)
+        if not self.state.troubled():
+            # Not heard of an outage: ask, so that a leader refused alone is not kept in office.
+            try:
+                await self.state.get(CATALOG, Rank.LEASE, timedelta(milliseconds=300))
+                return PromiseReply(False, "state service reached")
+            except StateError as error:
+                log.debug("state service not reached either: %s", error)
+        return self.elector.promise(question.request)
--- /dev/null
+++ b/dappledrum/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What controllers say to each other, in CBOR over HTTP."""
--- /dev/null
+++ b/dappledrum/peers/client.py
@@ -0,0 +1,57 @@
+"""Asking the other controllers."""
+
+import asyncio
+import logging
+from datetime import timedelta
+from typing import Any
+
+from dappledrum.http.client import Caller, NoResponseError
+from dappledrum.leadership.messages import PromiseReply, PromiseRequest
+from dappledrum.peers.messages import (
+    Knocks,
+    KnocksReply,
+    MalformedError,
+    Promise,
+    Question,
+    Relay,
+    RelayReply,
+    decode,
+    encode,
+)
+
+log = logging.getLogger(__name__)
+
+
+class Peers:
+    """The other controllers, by member name."""
+
+    def __init__(self, callers: dict[str, Caller]) -> None:
+        self.callers = callers
+
+    async def _ask(self, member: str, question: Question, kind: type, timeout: timedelta) -> Any:  # noqa: ANN401
+        try:
+            reply = await self.callers[member].request("POST", "/peer", encode(question), timeout)
+            return decode(reply.body, kind) if reply.status == 200 else None
+        except (NoResponseError, MalformedError) as error:
+            log.debug("peer %s gave no usable answer: %s", member, error)
+            return None
+
+    async def promise(self, request: PromiseRequest, timeout: timedelta) -> bool:
+        """Whether every other controller promises not to stand. One that does not answer has not promised."""
+        asked = [self._ask(member, Promise(request), PromiseReply, timeout) for member in self.callers]
+        replies = await asyncio.gather(*asked)
+        for member, reply in zip(self.callers, replies, strict=True):
+            if reply is None or not reply.granted:
+                log.info("no promise from %s: %s", member, "no answer" if reply is None else reply.reason)
+        return all(reply is not None and reply.granted for reply in replies)
+
+    async def knocks(self, within: timedelta, timeout: timedelta) -> int:
+        """Number of machines that have tried to report to another controller."""
+        question = Knocks(int(within.total_seconds() * 1000))
+        replies = await asyncio.gather(*(self._ask(m, question, KnocksReply, timeout) for m in self.callers))
+        return max((reply.machines for reply in replies if reply is not None), default=0)
+
+    async def relay(self, member: str, request: Relay, timeout: timedelta) -> RelayReply | None:
+        """Have a peer serve a user's request."""
+        reply: RelayReply | None = await self._ask(member, request, RelayReply, timeout)
+        return reply
--- /dev/null
+++ b/dappledrum/peers/messages.py
@@ -0,0 +1,63 @@
+"""Messages between controllers. Each is a CBOR map with its `kind`; unknown fields are ignored."""
+
+from typing import Any
+
+import cbor2
+import msgspec
+
+from dappledrum.leadership.messages import PromiseReply, PromiseRequest
+
+
+class Relay(msgspec.Struct, tag="relay", tag_field="kind"):
+    """A user's request that the sender can't serve, being cut off from the state service."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+class RelayReply(msgspec.Struct):
+    """The answer for the user."""
+
+    status: int
+    body: bytes
+    retry_after: int | None = None
+
+
+class Knocks(msgspec.Struct, tag="knocks", tag_field="kind"):
+    """A leader that hears no worker asks whether workers try elsewhere."""
+
+    within_ms: int
+
+
+class KnocksReply(msgspec.Struct):
+    """Number of machines that tried to report here within that time."""
+
+    machines: int
+
+
+class Promise(msgspec.Struct, tag="promise", tag_field="kind"):
+    """See leadership: a request not to stand for a bounded time."""
+
+    request: PromiseRequest
+
+
+Question = Relay | Knocks | Promise
+Reply = RelayReply | KnocksReply | PromiseReply
+
+
+class MalformedError(Exception):
+    """Not a message of ours."""
+
+
+def encode(message: Question | Reply) -> bytes:
+    """A message as it goes over the wire."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode(data: bytes, kind: Any) -> Any:  # noqa: ANN401 - a union is no type to the checker
+    """A checked message."""
+    try:
+        return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, RecursionError) as error:
+        raise MalformedError(str(error)) from error
--- /dev/null
+++ b/dappledrum/scheduling/deadlines.py
@@ -0,0 +1,41 @@
+"""When a stage should be complete.
+
+A protocol job is a pipeline of one stage, which gets the whole deadline; `divide` is what splits the deadline of a
+longer pipeline by estimated work (DESIGN). A job without a deadline takes one from the objectives of its class.
+"""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from dappledrum.clock import ZERO, seconds
+from dappledrum.settings import Objective
+
+
+def divide(deadline: timedelta, work: Sequence[timedelta]) -> list[timedelta]:
+    """Deadlines of consecutive stages, each with a share by its estimated work."""
+    total = sum(work, ZERO)
+    if total <= ZERO:
+        return [deadline] * len(work)
+    result: list[timedelta] = []
+    passed = ZERO
+    for part in work:
+        passed += part
+        result.append(deadline * (passed / total))
+    return result
+
+
+def stage_deadline(
+    objectives: Sequence[Objective], job_class: str, due: timedelta | None, task_time: timedelta
+) -> timedelta | None:
+    """Time from acceptance until the stage should be complete; None when nobody expects anything."""
+    limits: list[timedelta] = []
+    for objective in objectives:
+        if objective.job_class not in (None, job_class):
+            continue
+        if objective.kind == "finished" and objective.within_s is not None:
+            limits.append(seconds(objective.within_s))
+        elif objective.kind == "wait" and objective.within_s is not None:
+            limits.append(seconds(objective.within_s) + task_time)
+    if due is not None:
+        limits.append(due)
+    return min(limits, default=None)
--- /dev/null
+++ b/dappledrum/scheduling/estimates.py
@@ -0,0 +1,88 @@
+"""How long tasks take: mean plus one deviation (paper, section 4.2, equation 11).
+
+Before any task of a job has completed, the owner's estimate stands for the mean and a quarter of it for the
+deviation (DESIGN). Owners are often wrong, and mostly in the same way for a class on a day, so the classes' ratio of
+actual to expected time is learned and blended in.
+"""
+
+import math
+from datetime import timedelta
+
+PRIOR_WEIGHT = 3.0  # completed tasks that weigh as much as the estimate from which a job starts
+PRIOR_DEVIATION = 0.25
+RATIO_BOUNDS = (0.2, 5.0)
+MEMORY = 40.0  # completed tasks that a class's ratio looks back on
+
+
+class Sample:
+    """Running mean and deviation."""
+
+    __slots__ = ("count", "mean", "square")
+
+    def __init__(self) -> None:
+        self.count = 0.0
+        self.mean = 0.0
+        self.square = 0.0
+
+    def add(self, value: float) -> None:
+        """Take one more value in (Welford)."""
+        self.count += 1
+        step = value - self.mean
+        self.mean += step / self.count
+        self.square += step * (value - self.mean)
+
+    def fade(self, most: float) -> None:
+        """Forget the oldest, roughly."""
+        if self.count > most:
+            self.square *= most / self.count
+            self.count = most
+
+
+class Estimates:
+    """What has been learned in a term of leadership."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Sample] = {}
+        self.classes: dict[str, Sample] = {}
+
+    def learn(self, job: str, job_class: str, expected: timedelta, took: timedelta) -> None:
+        """A task has completed."""
+        self.jobs.setdefault(job, Sample()).add(took.total_seconds())
+        if expected > timedelta(0) and took > timedelta(0):
+            ratios = self.classes.setdefault(job_class, Sample())
+            ratios.add(math.log(took / expected))
+            ratios.fade(MEMORY)
+
+    def forget(self, job: str) -> None:
+        """The job is over."""
+        self.jobs.pop(job, None)
+
+    def ratio(self, job_class: str) -> float:
+        """Actual time over expected time for the class, drawn to 1 while little is known."""
+        seen = self.classes.get(job_class)
+        if seen is None:
+            return 1.0
+        middle = seen.mean * seen.count / (seen.count + PRIOR_WEIGHT)
+        return min(max(math.exp(middle), RATIO_BOUNDS[0]), RATIO_BOUNDS[1])
+
+    def moments(self, job: str, job_class: str, expected: timedelta) -> tuple[timedelta, timedelta]:
+        """Mean and deviation of a task's run time."""
+        mean = expected.total_seconds() * self.ratio(job_class)
+        variance = (PRIOR_DEVIATION * mean) ** 2
+        seen = self.jobs.get(job)
+        if seen is not None and seen.count:
+            total = seen.count + PRIOR_WEIGHT
+            blended = (mean * PRIOR_WEIGHT + seen.mean * seen.count) / total
+            variance = (
+                variance * PRIOR_WEIGHT
+                + seen.square
+                + PRIOR_WEIGHT * (mean - blended) ** 2
+                + seen.count * (seen.mean - blended) ** 2
+            ) / total
+            mean = blended
+        return timedelta(seconds=mean), timedelta(seconds=math.sqrt(variance))
+
+    def task_time(self, job: str, job_class: str, expected: timedelta) -> timedelta:
+        """Mean plus one deviation."""
+        mean, deviation = self.moments(job, job_class, expected)
+        return mean + deviation
--- /dev/null
+++ b/dappledrum/settings.py
@@ -0,0 +1,144 @@
+"""The settings file that the platform hands over, checked field by field."""
+
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from dappledrum.clock import seconds
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text names the field."""
+
+
+class Peer(msgspec.Struct, frozen=True, rename={"zone": "location", "address": "endpoint"}):
+    """Another controller and where it listens for its peers."""
+
+    member: Name
+    zone: Name
+    address: Address
+
+
+class External(msgspec.Struct, frozen=True):
+    """Addresses of the services that controllers depend on."""
+
+    cloud: Address
+    state: Address
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; a limit of 0 means none."""
+
+    name: Name
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
+    """What is expected of a class of jobs: waiting, finishing, or keeping the deadline."""
+
+    kind: str
+    share: Annotated[float, Meta(ge=0, le=1)] = 1.0
+    job_class: str | None = None
+    within_s: Amount | None = None
+    times: Amount | None = None
+
+
+class WorkerLimits(msgspec.Struct, frozen=True):
+    """Timing of the workers."""
+
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+    @property
+    def report(self) -> timedelta:
+        """Usual time between reports."""
+        return seconds(self.report_s)
+
+    @property
+    def lease(self) -> timedelta:
+        """How long a worker keeps its tasks with no answer."""
+        return seconds(self.lease_s)
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    """Rates and sizes that the state service allows."""
+
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4, le=10_000)]
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    """Call rate and list lag of the cloud."""
+
+    rps: Positive
+    list_lag_s: Amount
+
+    @property
+    def list_lag(self) -> timedelta:
+        """Usual age of a machine list."""
+        return seconds(self.list_lag_s)
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What this controller itself may use."""
+
+    cpu: Positive = 1.0
+    memory_mb: Positive = 256.0
+    max_sockets: Annotated[int, Meta(ge=32)] = 1024
+
+
+class Params(msgspec.Struct, frozen=True):
+    """What holds for the whole deployment."""
+
+    teams: list[Team]
+    workers: WorkerLimits
+    state: StateLimits
+    cloud: CloudLimits
+    zones: list[Name] = []
+    objectives: list[Objective] = []
+    machine_limits: MachineLimits = MachineLimits()
+    clock_off_ms: Amount = 1000.0
+
+
+class Settings(msgspec.Struct, frozen=True, rename={"zone": "location"}):
+    """One controller's settings."""
+
+    member: Name
+    zone: Name
+    serve_on: Address
+    back: Address
+    external: External
+    params: Params
+    seeds: list[Peer] = []
+
+
+def load(path: Path) -> Settings:
+    """Read and check the settings file; the error names the field at fault."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Settings)
+    except OSError as error:
+        raise SettingsError(f"settings file {path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"settings file {path}: {error}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"settings file {path}: not UTF-8") from error
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of an address that the settings check has passed."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/dappledrum/state/budget.py
@@ -0,0 +1,58 @@
+"""Token buckets that keep this controller within its share of the state service's rates.
+
+Requests are taken in the order of their importance: each kind leaves a reserve that only more important kinds may
+use, so polls can starve neither intake nor the renewal of the leader's lease.
+"""
+
+from datetime import timedelta
+from enum import IntEnum
+
+from dappledrum.clock import ZERO
+
+
+class Rank(IntEnum):
+    """Importance of a request; the lower, the more important."""
+
+    LEASE = 0
+    INTAKE = 1
+    RECORD = 2
+    POLL = 3
+
+
+#: Part of the bucket that each rank must leave to the more important ones.
+RESERVE = {Rank.LEASE: 0.0, Rank.INTAKE: 0.08, Rank.RECORD: 0.16, Rank.POLL: 0.3}
+
+
+class Budget:
+    """One bucket that holds a second's worth."""
+
+    def __init__(self, rate: float, now: timedelta) -> None:
+        self.rate = rate
+        self.size = max(rate, 1.0)
+        self.level = self.size
+        self.at = now
+
+    def _fill(self, now: timedelta) -> None:
+        if now > self.at:
+            self.level = min(self.size, self.level + (now - self.at).total_seconds() * self.rate)
+        self.at = now
+
+    def resize(self, rate: float, now: timedelta) -> None:
+        """Change the share, as when leadership comes or goes."""
+        self._fill(now)
+        self.rate = rate
+        self.size = max(rate, 1.0)
+        self.level = min(self.level, self.size)
+
+    def wait(self, amount: float, rank: Rank, now: timedelta) -> timedelta:
+        """How long until this amount may be taken; zero means now."""
+        self._fill(now)
+        missing = min(amount, self.size) + RESERVE[rank] * self.size - self.level
+        if rank is Rank.LEASE:
+            return ZERO  # a lease renewal goes out even when the bucket is empty
+        return timedelta(seconds=missing / self.rate) if missing > 1e-6 else ZERO
+
+    def take(self, amount: float, now: timedelta) -> None:
+        """Take an amount; the level may become negative."""
+        self._fill(now)
+        self.level -= amount
--- /dev/null
+++ b/dappledrum/state/client.py
@@ -0,0 +1,247 @@
+"""Requests to the state service.
+
+Three kinds of failure are kept apart, since the rules rest on the difference: refused (certainly not executed),
+conflict (executed, conditions failed) and unknown (it may have been executed, or may be at any later time).
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any, TypeVar
+
+import msgspec
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.http.client import Caller, NoResponseError, NotSentError, Reply
+from dappledrum.settings import StateLimits
+from dappledrum.state.budget import Budget, Rank
+from dappledrum.state.messages import (
+    Conflict,
+    Delete,
+    Entry,
+    Event,
+    Events,
+    Guard,
+    Lease,
+    Listing,
+    Put,
+    Revision,
+    TimeToLive,
+    Transaction,
+)
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+PATIENCE = timedelta(seconds=1.5)
+TXN_BYTES = 60 * 1024
+TROUBLE = timedelta(milliseconds=400)
+
+
+class StateError(Exception):
+    """The state service did not serve the request."""
+
+
+class RefusedError(StateError):
+    """Certainly not executed: no connection, 429 or 503."""
+
+
+class UnknownError(StateError):
+    """No usable answer: executed or not, now or later."""
+
+
+class ConflictError(StateError):
+    """The conditions of a transaction failed; nothing was changed."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class LeaseLostError(StateError):
+    """The lease does not exist any more."""
+
+
+class CompactedError(StateError):
+    """A watch asked for changes that the service no longer keeps."""
+
+
+class State:
+    """Client with budgets; one for each controller."""
+
+    def __init__(self, caller: Caller, limits: StateLimits, clock: Clock, rng: random.Random) -> None:
+        self.caller = caller
+        self.limits = limits
+        self.clock = clock
+        self.rng = rng
+        self.requests = Budget(limits.rps * 0.2, clock.now())
+        self.writes = Budget(limits.write_rps * 0.2, clock.now())
+        self.blocked_until = ZERO
+        self.backoff = ZERO
+        self.served_at: timedelta | None = None
+        self.failing_since: timedelta | None = None
+        self.last_hung = False
+
+    def troubled(self) -> bool:
+        """Requests have failed for a while, and none was served since."""
+        return self.failing_since is not None and self.clock.now() - self.failing_since > TROUBLE
+
+    def hanging(self) -> bool:
+        """The newest failure was one without an answer, so the next request would wait in vain, too."""
+        return self.last_hung
+
+    def set_share(self, share: float) -> None:
+        """Change the part of the service's rates that this controller may use."""
+        now = self.clock.now()
+        self.requests.resize(self.limits.rps * share, now)
+        self.writes.resize(self.limits.write_rps * share, now)
+
+    def busy_for(self, rank: Rank, writes: int = 0) -> timedelta:
+        """How long a request of this rank would have to wait; zero means that it can go now."""
+        now = self.clock.now()
+        wait = self.requests.wait(1, rank, now)
+        if writes:
+            wait = max(wait, self.writes.wait(writes, rank, now))
+        if rank is not Rank.LEASE:
+            wait = max(wait, self.blocked_until - now)
+        return wait
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        rank: Rank,
+        timeout: timedelta = PATIENCE,
+        writes: int = 0,
+    ) -> Reply:
+        wait = self.busy_for(rank, writes)
+        if wait > ZERO:
+            if rank in (Rank.POLL, Rank.INTAKE) and wait > timedelta(seconds=0.5):
+                raise RefusedError("over this controller's share of requests")
+            await asyncio.sleep(wait.total_seconds())
+        now = self.clock.now()
+        self.requests.take(1, now)
+        if writes:
+            self.writes.take(writes, now)
+        try:
+            reply = await self.caller.request(method, path, body, timeout)
+        except NotSentError as error:
+            self._failed(hung=False)
+            raise RefusedError(str(error)) from error
+        except NoResponseError as error:
+            self._failed(hung=True)
+            raise UnknownError(str(error)) from error
+        if reply.status in (429, 503):
+            self._back_off(reply.status)
+            if reply.status == 503:
+                self._failed(hung=False)
+            raise RefusedError(f"status {reply.status}")
+        if reply.status >= 500:
+            raise UnknownError(f"status {reply.status}")
+        self.backoff = ZERO
+        self.served_at = self.clock.now()
+        self.failing_since = None
+        return reply
+
+    def _failed(self, hung: bool) -> None:
+        self.last_hung = hung
+        if self.failing_since is None:
+            self.failing_since = self.clock.now()
+
+    def _back_off(self, status: int) -> None:
+        floor = timedelta(seconds=0.1 if status == 429 else 0.2)
+        self.backoff = min(max(self.backoff * 2, floor), timedelta(seconds=1))
+        self.blocked_until = self.clock.now() + self.backoff * self.rng.uniform(0.5, 1.0)
+
+    @staticmethod
+    def _decode(reply: Reply, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise UnknownError(f"unusable answer: {error}") from error
+
+    async def get(self, key: str, rank: Rank, timeout: timedelta = PATIENCE) -> Entry | None:
+        """Read one key; None when it does not exist."""
+        reply = await self._call("GET", f"/keys/{key}", None, rank, timeout)
+        if reply.status == 404:
+            self._decode(reply, Revision)  # a 404 from anything but the service proves nothing
+            return None
+        if reply.status != 200:
+            raise UnknownError(f"status {reply.status} for a read")
+        return self._decode(reply, Entry)
+
+    async def scan(self, prefix: str, rank: Rank) -> tuple[list[Entry], int]:
+        """Read all keys with a prefix, and the revision from which a watch must start."""
+        entries: list[Entry] = []
+        start: int | None = None
+        after = ""
+        while True:
+            since = f"&from={after}" if after else ""
+            path = f"/keys?prefix={prefix}{since}&page=500"
+            reply = await self._call("GET", path, None, rank, timedelta(seconds=4))
+            if reply.status != 200:
+                raise UnknownError(f"status {reply.status} for a list")
+            page = self._decode(reply, Listing)
+            entries += page.entries
+            start = page.revision if start is None else start
+            if not page.more or not page.entries:
+                return entries, start
+            after = page.entries[-1].key
+
+    async def commit(
+        self,
+        guards: Sequence[Guard],
+        changes: Sequence[Put | Delete],
+        rank: Rank,
+        timeout: timedelta = PATIENCE,
+    ) -> int:
+        """Run a transaction and return its revision."""
+        body = msgspec.json.encode(Transaction(list(guards), list(changes)))
+        reply = await self._call("POST", "/multi", body, rank, timeout, writes=len(changes))
+        if reply.status == 200:
+            return self._decode(reply, Revision).revision
+        if reply.status == 409:
+            raise ConflictError(self._decode(reply, Conflict).failed)
+        if reply.status == 400 and b"no such lease" in reply.body:
+            raise LeaseLostError("lease ended")
+        log.error("transaction refused with %d: %.200r", reply.status, reply.body)
+        raise UnknownError(f"status {reply.status} for a transaction")
+
+    async def open_lease(self, life: timedelta) -> int:
+        """Get a new lease."""
+        body = msgspec.json.encode(TimeToLive(int(life.total_seconds() * 1000)))
+        reply = await self._call("POST", "/holds", body, Rank.LEASE)
+        if reply.status != 200:
+            raise UnknownError(f"status {reply.status} for a lease")
+        return self._decode(reply, Lease).lease
+
+    async def renew_lease(self, lease: int, timeout: timedelta) -> None:
+        """Renew a lease, or raise LeaseLostError."""
+        reply = await self._call("POST", f"/holds/{lease}/touch", b"{}", Rank.LEASE, timeout)
+        if reply.status == 404:
+            raise LeaseLostError("lease ended")
+        if reply.status != 200:
+            raise UnknownError(f"status {reply.status} for a renewal")
+
+    async def close_lease(self, lease: int) -> None:
+        """End a lease at once, with the keys attached to it."""
+        await self._call("DELETE", f"/holds/{lease}", None, Rank.LEASE)
+
+    async def watch(self, prefix: str, after: int, wait: timedelta, rank: Rank) -> tuple[list[Event], int]:
+        """Changes after a revision; an empty list when nothing changed in time."""
+        path = f"/watch?prefix={prefix}&from={after}&waitMs={int(wait.total_seconds() * 1000)}"
+        reply = await self._call("GET", path, None, rank, wait + PATIENCE)
+        if reply.status == 410:
+            raise CompactedError(prefix)
+        if reply.status != 200:
+            raise UnknownError(f"status {reply.status} for a watch")
+        events = self._decode(reply, Events)
+        return events.events, events.revision
+
+
+def raw(value: Any) -> msgspec.Raw:  # noqa: ANN401 - anything that msgspec encodes
+    """A value as it is stored."""
+    return msgspec.Raw(msgspec.json.encode(value))
--- /dev/null
+++ b/dappledrum/wiring.py
@@ -0,0 +1,38 @@
+"""Connects a controller to real sockets."""
+
+import asyncio
+import logging
+import random
+
+from dappledrum.clock import Clock
+from dappledrum.dispatch import Tuning
+from dappledrum.http.client import Client
+from dappledrum.http.server import Server
+from dappledrum.node import Node
+from dappledrum.settings import Settings, split_address
+
+log = logging.getLogger(__name__)
+
+OWN_SOCKETS = 80  # kept for requests to the state service, the cloud and the peers, and for listening
+
+
+async def run_node(settings: Settings, tuning: Tuning) -> None:
+    """Listen, then run until the process is killed."""
+    most = settings.params.machine_limits.max_sockets
+    peers = {peer.member: Client(*split_address(peer.address)) for peer in settings.seeds}
+    node = Node(
+        settings,
+        tuning,
+        Clock(),
+        random.Random(),
+        Client(*split_address(settings.external.state), max_idle=8),
+        Client(*split_address(settings.external.cloud), max_idle=2),
+        dict(peers),
+    )
+    reserve = min(OWN_SOCKETS, most // 3)
+    public = Server(node.serve, max(8, most - 2 * reserve))
+    private = Server(node.serve_peer, reserve)
+    await public.start(*split_address(settings.serve_on))
+    await private.start(*split_address(settings.back))
+    log.info("listening on %s, for peers on %s", settings.serve_on, settings.back)
+    await asyncio.gather(node.run())
--- /dev/null
+++ b/dappledrum/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Machines as their workers report them, and the commands they get."""
--- /dev/null
+++ b/dappledrum/workers/bookkeeping.py
@@ -0,0 +1,266 @@
+"""What a report means for the records, and what the worker is told.
+
+The rules rest on two things here. A start is sent only when the record that names the attempt is stored. And an
+attempt counts as on its machine until it is proven gone, by one of:
+
+- a report that shows it ended;
+- a report without it that carries our own token (one held back under a predecessor proves nothing) and is newer than
+  the one whose answer carried the start (the worker has dropped that answer by then);
+- a report of a newer session;
+- the cloud's word that the machine was returned;
+- silence for longer than a lease, drift included, since the last answer that anyone can have given.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.jobs.record import Job, Page, Placement
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.scheduling.lanes import Kind
+from dappledrum.settings import WorkerLimits
+from dappledrum.workers.messages import Cause, Command, Report, TaskReport, TaskState
+from dappledrum.workers.roster import Machine, Roster
+
+log = logging.getLogger(__name__)
+
+MACHINE_ERRORS = 3
+RETRY = timedelta(seconds=2)
+RETRY_MOST = timedelta(seconds=60)
+
+
+class Bookkeeper:
+    """Keeps placements and machines in step with the reports."""
+
+    def __init__(
+        self,
+        jobs: dict[str, Job],
+        roster: Roster,
+        estimates: Estimates,
+        limits: WorkerLimits,
+        clock: Clock,
+        token: int,
+        mark: Callable[[Page], None],
+        wake: Callable[[str], None],
+    ) -> None:
+        self.jobs = jobs
+        self.roster = roster
+        self.estimates = estimates
+        self.limits = limits
+        self.clock = clock
+        self.token = token
+        self.mark = mark
+        self.wake = wake
+        self.cache_gb: dict[str, float] = {}
+
+    # reports
+
+    def take(self, report: Report) -> Machine | None:
+        """Note a report. None: it is older than what is known, or the machine is gone."""
+        now = self.clock.now()
+        if report.machine in self.roster.gone:
+            return None
+        machine = self.roster.ensure(report.machine, Kind(report.type, report.zone, report.spot), now)
+        if (report.session, report.sequence) <= (machine.session, machine.sequence):
+            return None
+        if report.session > machine.session and machine.up:
+            machine.images.clear()
+            log.info("%s is in session %d now", machine.name, report.session)
+        machine.session, machine.sequence, machine.token = report.session, report.sequence, report.token
+        machine.last_report = now
+        if not machine.up:
+            machine.up_at = now
+            log.info("%s is up (%s in %s)", machine.name, report.type, report.zone)
+            self.wake("machine up")
+        if report.notice_s is not None:
+            if machine.recall_at is None:
+                log.info("%s will be taken in %.0f s", machine.name, report.notice_s)
+                self.wake("spot notice")
+            machine.recall_at = now + timedelta(seconds=report.notice_s)
+        self._compare(machine, report, now)
+        return machine
+
+    def _compare(self, machine: Machine, report: Report, now: timedelta) -> None:
+        """Bring the placements in step with what the report shows."""
+        shown: set[tuple[str, int, int]] = set()
+        for item in report.tasks:
+            name, _, number = item.task.rpartition("/")
+            if not number.isascii() or not number.isdigit() or len(number) > 7:
+                continue
+            shown.add((name, int(number), item.attempt))
+            job = self.jobs.get(name)
+            if job is not None and int(number) < job.spec.tasks:
+                self._item(machine, job, int(number), item, now)
+        for placement in list(machine.placements.values()):
+            job_id = placement.page.job.id
+            if placement.session < report.session:
+                self._lost(machine, placement, "its session is over")
+            elif (job_id, placement.task, placement.attempt) in shown or placement.session > report.session:
+                continue
+            elif (
+                report.token == self.token
+                and report.sequence > placement.offered_tick
+                and (placement.seen or placement.lost or not self._wanted(placement))
+            ):
+                self._lost(machine, placement, "no longer there")
+
+    def _item(self, machine: Machine, job: Job, task: int, item: TaskReport, now: timedelta) -> None:
+        page = job.page_of(task)
+        placement = machine.placements.get((job.id, task))
+        if placement is not None and placement.attempt != item.attempt:
+            placement = None
+        if item.state == TaskState.ENDED:
+            self._ended(machine, job, page, task, placement, item, now)
+        elif placement is not None:
+            placement.seen = True
+            if item.state == TaskState.RUNNING and placement.running_at is None:
+                placement.running_at = now
+                cache = self.cache_gb.get(machine.kind.type, 1e9) if machine.kind is not None else 1e9
+                machine.remember_image(job.spec.image, job.spec.image_gb, cache)
+
+    def _ended(
+        self,
+        machine: Machine,
+        job: Job,
+        page: Page,
+        task: int,
+        placement: Placement | None,
+        item: TaskReport,
+        now: timedelta,
+    ) -> None:
+        if item.cause == Cause.DONE and not page.is_done(task):
+            page.finish(task)
+            machine.errors = 0
+            job.errors.clear()
+            if placement is not None and placement.running_at is not None:
+                took = now - placement.running_at
+                self.estimates.learn(job.id, job.spec.job_class, job.spec.estimate, took)
+            self.wake("task done")
+        elif placement is not None and item.cause == Cause.ERROR:
+            self._failure(machine, job, now)
+        elif placement is not None and item.cause in (Cause.FULL, Cause.BUSY):
+            log.warning("%s refused %s: %s", machine.name, item.task, item.cause)
+            machine.blocked_until = now + RETRY
+        elif placement is not None and item.cause == Cause.UNKNOWN:
+            job.retry_at = now + RETRY
+        if placement is not None:
+            self._remove(machine, placement)
+            self.wake("task ended")
+        self.mark(page)
+
+    def _failure(self, machine: Machine, job: Job, now: timedelta) -> None:
+        """A task failed: either the machine is faulty, or the job fails everywhere."""
+        job.errors[machine.name] = job.errors.get(machine.name, 0) + 1
+        if len(job.errors) >= 3:
+            # Machines that others are content with: it is the job. Try again, ever more rarely.
+            tries = sum(job.errors.values())
+            job.retry_at = now + min(RETRY * 2 ** min(tries // 3, 6), RETRY_MOST)
+            log.warning("%s fails on %d machines, next try later", job.id, len(job.errors))
+        else:
+            machine.errors += 1
+            if machine.errors >= MACHINE_ERRORS and not machine.draining:
+                machine.draining = True
+                log.warning("%s fails again and again, draining it", machine.name)
+
+    def _remove(self, machine: Machine, placement: Placement) -> None:
+        machine.placements.pop((placement.page.job.id, placement.task), None)
+        page = placement.page
+        if page.places.get(placement.task) is placement:
+            page.remove(placement.task)
+            self.mark(page)
+
+    def _lost(self, machine: Machine, placement: Placement, why: str) -> None:
+        log.info("%s/%d on %s is gone: %s", placement.page.job.id, placement.task, machine.name, why)
+        self._remove(machine, placement)
+        self.wake("task lost")
+
+    # answers
+
+    @staticmethod
+    def _wanted(placement: Placement) -> bool:
+        job = placement.page.job
+        return not (job.over or job.cancelled or placement.lost or placement.page.is_done(placement.task))
+
+    def pending(self, machine: Machine) -> bool:
+        """Whether something is about to be stored that the answer could carry."""
+        return any(
+            not p.seen and p.offered_tick < 0 and p.page.saved < p.revision and p.session == machine.session
+            for p in machine.placements.values()
+        )
+
+    def commands(self, machine: Machine, report: Report, entitled: bool) -> list[Command]:
+        """Commands that follow from the records. Without a valid lease of our own there are none."""
+        if not entitled:
+            return []
+        result: list[Command] = []
+        active: set[tuple[str, int]] = set()
+        for item in report.tasks:
+            command = self._for_item(machine, item)
+            if command is not None:
+                result.append(command)
+            active.add((item.task, item.attempt))
+        for placement in machine.placements.values():
+            task = f"{placement.page.job.id}/{placement.task}"
+            if (task, placement.attempt) in active or placement.session != report.session:
+                continue
+            # Write ahead: the worker hears of an attempt only when its record is stored.
+            if self._wanted(placement) and placement.page.saved >= placement.revision:
+                placement.offered_tick = max(placement.offered_tick, report.sequence)
+                result.append(Command("start", task, placement.attempt))
+        return result
+
+    def _for_item(self, machine: Machine, item: TaskReport) -> Command | None:
+        """Stop what is not wanted, forget ends that are stored."""
+        name, _, number = item.task.rpartition("/")
+        job = self.jobs.get(name)
+        task = int(number) if number.isascii() and number.isdigit() and len(number) <= 7 else -1
+        known = job is not None and 0 <= task < job.spec.tasks
+        placement = machine.placements.get((name, task))
+        if placement is not None and placement.attempt != item.attempt:
+            placement = None
+        if item.state == TaskState.ENDED:
+            if placement is not None or (known and job is not None and job.page_of(task).dirty):
+                return None  # the end is not stored yet
+            return Command("forget", item.task, item.attempt)
+        if placement is not None and self._wanted(placement):
+            return None
+        grace = 0.0
+        if placement is not None and job is not None and not job.cancelled:
+            if item.state == TaskState.SAVING:
+                return None
+            grace = job.spec.save_s * 1.5 + 1 if job.spec.checkpoint_s > 0 else 0.0
+            left = None if machine.recall_at is None else (machine.recall_at - self.clock.now()).total_seconds()
+            if left is not None and left > 0:
+                grace = min(grace, left)
+        return Command("stop", item.task, item.attempt, grace)
+
+    # time
+
+    def sweep(self) -> None:
+        """Give up what was on machines whose workers have certainly ended their session."""
+        now = self.clock.now()
+        for machine in self.roster:
+            if machine.placements and machine.expired(now, self.limits.lease):
+                for placement in list(machine.placements.values()):
+                    self._lost(machine, placement, "the machine is silent for longer than its lease")
+
+    def returned(self, machine: Machine) -> None:
+        """The cloud has confirmed that the machine, with all that was on it, is gone."""
+        for placement in list(machine.placements.values()):
+            self._lost(machine, placement, "the machine was returned")
+        self.roster.drop(machine.name)
+
+    def evict(self, placement: Placement) -> None:
+        """Have a task stopped; it counts as on its machine until that is proven otherwise."""
+        placement.lost = True
+
+    def restore(self, job: Job) -> None:
+        """Take over the placements of a predecessor, which may have answered any worker until now."""
+        now = self.clock.now()
+        for placement in job.placements():
+            machine = self.roster.ensure(placement.machine, None, now)
+            machine.last_answer = now
+            machine.placements[(job.id, placement.task)] = placement
+            age = self.clock.today() - placement.placed_at
+            placement.running_at = now - max(age, ZERO)
--- /dev/null
+++ b/dappledrum/workers/messages.py
@@ -0,0 +1,98 @@
+"""Reports of workers and the answers to them."""
+
+from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from dappledrum.settings import Address
+
+Count = Annotated[int, Meta(ge=0)]  # msgspec bounds no integer by more than 63 bits
+Text = Annotated[str, Meta(min_length=1, max_length=300)]
+
+
+class TaskState(StrEnum):
+    """State of a task on a machine."""
+
+    FETCHING = "fetching"
+    WAITING = "gathering"
+    RUNNING = "running"
+    SAVING = "flushing"
+    ENDED = "ended"
+
+
+class Cause(StrEnum):
+    """Why a task ended."""
+
+    DONE = "done"
+    STOPPED = "stopped"
+    ERROR = "error"
+    FULL = "full"
+    BUSY = "busy"
+    UNKNOWN = "unknown"
+
+
+class TaskReport(msgspec.Struct, rename={"task": "beat", "attempt": "take", "state": "stance", "saved": "stored"}):
+    """One task in a report. States and causes stay plain text: an unknown one must not spoil the report."""
+
+    task: Text
+    attempt: Count
+    state: Text
+    cause: str | None = None
+    saved: bool | None = None
+
+
+class Report(
+    msgspec.Struct,
+    rename={
+        "machine": "drum",
+        "address": "endpoint",
+        "type": "build",
+        "zone": "hall",
+        "spot": "loaners",
+        "session": "set",
+        "sequence": "tick",
+        "token": "baton",
+        "notice_s": "recallS",
+        "tasks": "beats",
+    },
+):
+    """POST /hello."""
+
+    machine: Text
+    address: Address
+    type: Text
+    zone: Text
+    spot: bool
+    session: Count
+    sequence: Count
+    token: Count
+    notice_s: Annotated[float, Meta(ge=0, le=1e9)] | None = None
+    tasks: list[TaskReport] = []
+
+
+class Command(
+    msgspec.Struct,
+    omit_defaults=True,
+    rename={"op": "call", "task": "beat", "attempt": "take", "grace_s": "fadeS"},
+):
+    """A command to a worker."""
+
+    op: str
+    task: str
+    attempt: int
+    grace_s: float | None = None
+
+
+class Commands(msgspec.Struct, rename={"token": "baton", "commands": "calls"}):
+    """Answer to a report."""
+
+    token: int
+    commands: list[Command]
+
+
+class Redirect(msgspec.Struct, rename={"report_to": "conductor"}):
+    """Body of a 421: the controller to report to."""
+
+    report_to: str
--- /dev/null
+++ b/dappledrum/workers/roster.py
@@ -0,0 +1,90 @@
+"""Machines as the leader knows them."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from datetime import timedelta
+
+from dappledrum.clock import longer
+from dappledrum.jobs.record import Placement
+from dappledrum.scheduling.lanes import Kind
+
+GONE_MARGIN = timedelta(milliseconds=500)
+KEPT_NAMES = 2_000
+
+
+class Machine:
+    """One rented machine."""
+
+    def __init__(self, name: str, kind: Kind | None, now: timedelta) -> None:
+        self.name = name
+        self.kind = kind  # None until somebody says: a placement by a predecessor names only the zone
+        self.rented_at = now
+        self.seen_at = now  # first time that this leader heard of it
+        self.up_at: timedelta | None = None
+        self.session = 0
+        self.sequence = -1
+        self.token = 0
+        self.last_report: timedelta | None = None
+        # The last moment at which the worker may have been answered, by this leader or by one before it.
+        self.last_answer = now
+        self.recall_at: timedelta | None = None
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.placements: dict[tuple[str, int], Placement] = {}
+        self.returning = False
+        self.draining = False
+        self.failed = False
+        self.errors = 0
+        self.blocked_until = timedelta(0)
+        self.speed = 1.0
+        self.listed_at: timedelta | None = None
+
+    @property
+    def up(self) -> bool:
+        """Its worker has reported to this leader."""
+        return self.up_at is not None
+
+    def expired(self, now: timedelta, lease: timedelta) -> bool:
+        """The worker has certainly given up its session: no answer can have reached it for longer than a lease."""
+        return now > self.last_answer + longer(lease) + GONE_MARGIN
+
+    def silent(self, now: timedelta, report: timedelta) -> bool:
+        """Reports are missing, so nothing new should be put there."""
+        return self.last_report is None or now - self.last_report > report * 2 + timedelta(seconds=2)
+
+    def remember_image(self, image: str, size_gb: float, cache_gb: float) -> None:
+        """The machine has fetched an image, and may have dropped the least recently used ones for it."""
+        self.images[image] = size_gb
+        self.images.move_to_end(image)
+        while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
+            self.images.popitem(last=False)
+
+
+class Roster:
+    """All machines, and the names of those that are gone for good."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, Machine] = {}
+        self.gone: OrderedDict[str, None] = OrderedDict()
+
+    def __iter__(self) -> Iterator[Machine]:
+        return iter(list(self.machines.values()))
+
+    def get(self, name: str) -> Machine | None:
+        """A machine that is known."""
+        return self.machines.get(name)
+
+    def ensure(self, name: str, kind: Kind | None, now: timedelta) -> Machine:
+        """A machine, new or known; what is learned about its kind is kept."""
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = self.machines[name] = Machine(name, kind, now)
+        elif machine.kind is None:
+            machine.kind = kind
+        return machine
+
+    def drop(self, name: str) -> None:
+        """The machine is gone; late words about it must not bring it back."""
+        self.machines.pop(name, None)
+        self.gone[name] = None
+        while len(self.gone) > KEPT_NAMES:
+            self.gone.popitem(last=False)
