--- a/dappledrum/http/server.py
+++ b/dappledrum/http/server.py
@@ -114,6 +114,7 @@
         self.head = 0
         self.body = bytearray()
         self.refusal: Response | None = None
+        self.upgrade = False
         self.task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -136,7 +137,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST)
+            self.upgrade = True  # the request is served as it is, and the connection ends with it
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
 
@@ -181,6 +182,7 @@
         self.task = None
         if self.transport is None:
             return
+        keep = keep and not self.upgrade
         self.transport.write(encode(response, keep))
         if keep:
             self._rest()
--- /dev/null
+++ b/dappledrum/http/test_http.py
@@ -0,0 +1,115 @@
+"""Server and client over real sockets on loopback: limits, strangers' mistakes, and lost connections."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from dappledrum.http.client import Client, NoResponseError, NotSentError
+from dappledrum.http.server import MAX_BODY, Response, Server
+
+SECOND = timedelta(seconds=5)
+
+
+async def echo(request):
+    if request.path == "/bad":
+        raise ValueError("a bug")
+    if request.path == "/slow":
+        await asyncio.sleep(30)
+    return Response(200, request.method.encode() + b" " + request.path.encode() + b" " + request.body, 7)
+
+
+async def serving(check, most=50):
+    server = Server(echo, most)
+    port = await server.start("127.0.0.1", 0)
+    try:
+        await check(server, port)
+    finally:
+        await server.stop()
+
+
+async def raw(port, data):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+def test_requests_share_a_connection():
+    async def check(server, port):
+        client = Client("127.0.0.1", port)
+        for body in (b"one", b"two", None):
+            reply = await client.request("POST", "/x?y=1", body, SECOND)
+            assert (reply.status, reply.body) == (200, b"POST /x?y=1 " + (body or b""))
+        assert len(server.connections) == 1
+
+    asyncio.run(serving(check))
+
+
+def test_a_failing_handler_and_a_closed_connection_disturb_nobody():
+    async def check(server, port):
+        client = Client("127.0.0.1", port)
+        assert (await client.request("GET", "/bad", None, SECOND)).status == 500
+        for connection in list(server.connections):
+            connection.abort()
+        assert (await client.request("GET", "/x", None, SECOND)).status == 200
+
+    asyncio.run(serving(check))
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", b"400"),
+        (b"POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n" + b"x" * (MAX_BODY + 1), b"413"),
+        (b"GET /x HTTP/1.1\r\nA: " + b"x" * 70_000 + b"\r\n\r\n", b"431"),
+        (b"GET /x HTTP/1.1\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n", b"200"),
+        (b"GET /x HTTP/1.1\r\nConnection: close\r\n\r\n", b"200"),
+    ],
+)
+def test_what_strangers_send(data, status):
+    async def check(server, port):
+        assert status in (await raw(port, data))[:20]
+        assert (await Client("127.0.0.1", port).request("GET", "/x", None, SECOND)).status == 200
+
+    asyncio.run(serving(check))
+
+
+def test_a_half_sent_request_is_ended_and_others_are_served():
+    async def check(server, port):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf")
+        client = Client("127.0.0.1", port)
+        assert (await client.request("GET", "/x", None, SECOND)).status == 200
+        half = next(c for c in server.connections if not c.idle)
+        half.deadline = 0.0
+        await asyncio.sleep(1.3)
+        assert half not in server.connections
+        writer.close()
+
+    asyncio.run(serving(check))
+
+
+def test_when_full_the_longest_idle_connection_goes():
+    async def check(server, port):
+        idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+        assert (await Client("127.0.0.1", port).request("GET", "/x", None, SECOND)).status == 200
+        assert len(server.connections) <= 3
+        for _, writer in idle:
+            writer.close()
+
+    asyncio.run(serving(check, most=3))
+
+
+def test_unknown_and_unsent_are_told_apart():
+    async def check(server, port):
+        client = Client("127.0.0.1", port)
+        with pytest.raises(NoResponseError) as caught:
+            await client.request("POST", "/slow", b"", timedelta(seconds=0.2))
+        assert not isinstance(caught.value, NotSentError)
+        await server.stop()
+        with pytest.raises(NotSentError):
+            await Client("127.0.0.1", port).request("POST", "/x", b"", SECOND)
+
+    asyncio.run(serving(check))
--- /dev/null
+++ b/dappledrum/jobs/test_intake.py
@@ -0,0 +1,143 @@
+"""What users may send, and what they are told."""
+
+import json
+from datetime import UTC, datetime
+
+import msgspec
+import pytest
+
+from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record import Job, Page
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+
+
+def send(*bodies):
+    """Statuses of submissions, sent to one controller of a quiet world."""
+
+    async def main():
+        world = World(seed=1)
+        await world.until(lambda: world.leader() is not None)
+        replies = [await world._ask("POST", "/submissions", body) for body in bodies]
+        return [reply.status for reply in replies if reply is not None]
+
+    return run(main())
+
+
+def body(**changes):
+    spec = job(1, **changes)
+    del spec["runS"]
+    return json.dumps({key: value for key, value in spec.items() if value != "absent"}).encode()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"", 400),
+        (b"{", 400),
+        (b"[]", 400),
+        (b"\xff\xfe", 400),
+        (b"[" * 50_000, 400),
+        (body(id="absent"), 400),
+        (body(id="x-1"), 400),
+        (body(id="j-1/2"), 400),
+        (body(beats=0), 400),
+        (body(beats=100_001), 400),
+        (body(beats=1.5), 400),
+        (body(beats="4"), 400),
+        (body(vcpus=-1.0), 400),
+        (body(vcpus=1e300), 400),
+        (body(vcpus=float("nan")), 400),
+        (body(urgency="asap"), 400),
+        (body(form="ensemble"), 400),
+        (body(spread=None), 400),
+        (body(builds=["x" * 190] * 60), 400),
+        (body(crew="nobody"), 422),
+        (body(vcpus=64.0), 422),
+        (body(builds=["large"], hall="b"), 422),
+        (body(builds=[]), 422),
+        (body(crew="red", vcpus=10.0), 422),
+        (body(crew="red", vcpus=4.0, form="service", beats=3), 422),
+        (body(crew="red", vcpus=4.0, beats=3), 201),
+        (body(dueS=None, more={"unknown": 1}), 201),
+        (body(dueS="absent", hall="absent", builds="absent"), 201),
+    ],
+)
+def test_submission(data, status):
+    assert send(data) == [status]
+
+
+def test_a_known_job_is_never_refused_later():
+    assert send(body(), body(), body(crew="nobody")) == [201, 200, 200]
+
+
+def test_paths_and_methods():
+    async def main():
+        world = World(seed=1)
+        await world.until(lambda: world.leader() is not None)
+        for method, path, status in (
+            ("GET", "/submissions/j-000009", 404),
+            ("GET", "/submissions/nonsense", 404),
+            ("GET", "/submissions/j-1%2F..", 404),
+            ("POST", "/submissions/j-000009/cancel", 404),
+            ("DELETE", "/submissions/j-000009", 405),
+            ("GET", "/submissions", 405),
+            ("POST", "/ready", 405),
+            ("GET", "/ready", 200),
+            ("GET", "/", 404),
+            ("POST", "/hello", 400),
+        ):
+            reply = await world._ask(method, path, b"")
+            assert reply is not None and reply.status == status, path
+
+    run(main())
+
+
+def test_a_very_large_job_keeps_within_the_store():
+    """The stand-in checks sizes of values and transactions; most tasks of the job are already done."""
+
+    async def main():
+        world = World(seed=8)
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=100_000, vcpus=0.25, memGb=0.1, runS=2.0, dueS=None))
+        await world.submit(job(2))
+        await world.until(lambda: world.rules.starts > 300)
+        leader = world.nodes[world.leader()]
+        live = leader.leader.jobs["j-000001"]
+        facts = world.rules.jobs["j-000001"]
+        for index in range(live.page_count - 1):
+            page = live.page(index)
+            if not page.places and page.done == 0:
+                page.done = (1 << page.count) - 1
+                live.done += page.count
+                page.touch()
+                leader.leader.recorder.mark(page)
+                facts.done.update(range(page.first, page.first + page.count))
+        await world.until(lambda: len(leader.leader.recorder.dirty) < 8)
+        await world.restart(world.leader())
+        await world.finish(["j-000001", "j-000002"], most=600)
+
+    run(main())
+
+
+def test_stored_pages_come_back_the_same():
+    spec = {key: value for key, value in job(7, beats=600).items() if key != "runS"}
+    record = JobRecord(msgspec.convert(spec, Spec), 1_700_000_000_000, 256, PageRecord())
+    first = Job(record, 1)
+    now = datetime.fromtimestamp(1_700_000_042, UTC)
+    for index in range(3):
+        page = first.page(index)
+        for offset in range(0, page.count, 7):
+            page.place(page.first + offset, f"host-{offset % 5}", offset % 3, "a", now)
+        page.finish(page.first + 1)
+    second = Job(msgspec.json.decode(msgspec.json.encode(first.head_record()), type=JobRecord), 5)
+    for index in (1, 2):
+        second.add_page(index, first.page(index).to_record(), 6)
+
+    def facts(page: Page):
+        rows = {t: (p.machine, p.session, p.zone, p.attempt, p.placed_at) for t, p in page.places.items()}
+        return page.done, page.attempt, rows, list(page.free())
+
+    for index in range(3):
+        assert facts(first.page(index)) == facts(second.page(index))
+    assert (second.done, second.on_machines(), second.waiting()) == (first.done, first.on_machines(), first.waiting())
--- /dev/null
+++ b/dappledrum/model/dds.py
@@ -0,0 +1,137 @@
+"""Algorithms 1 and 2 in the plainest form: one task at a time, and every time step tried.
+
+Written apart from the planner, from the paper's text and DESIGN. A machine is its list of reservations; times are
+seconds as numbers. Nothing is cached, copied or taken in groups.
+"""
+
+import math
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+
+@dataclass
+class PlainMachine:
+    """A machine with what is reserved on it."""
+
+    name: str
+    kind: str
+    cpus: float
+    ready: float
+    rented: float
+    hourly: float
+    fetch: float  # seconds to fetch the image
+    image_at: float | None = None
+    reserved: list[tuple[float, float, float]] = field(default_factory=list)  # start, finish, cpus
+    fresh: bool = False
+
+    def committed(self) -> float:
+        """Until when the machine has something to do."""
+        return max([self.ready] + [finish for _, finish, _ in self.reserved])
+
+    def used(self, at: float) -> float:
+        """CPUs that are taken at one moment."""
+        return sum(cpus for start, finish, cpus in self.reserved if start <= at < finish)
+
+    def room(self, cpus: float, run: float) -> tuple[float, float] | None:
+        """Earliest start and the finish of a task."""
+        moments = sorted({self.ready} | {t for s, f, _ in self.reserved for t in (s, f) if t >= self.ready})
+        for start in moments:
+            finish = start + run + (self.fetch if self.image_at is None else max(0.0, self.image_at - start))
+            inside = [m for m in moments if start <= m < finish]
+            if all(self.used(m) + cpus <= self.cpus + 1e-6 for m in inside):
+                return start, finish
+        return None
+
+    def intervals(self, until: float, length: float) -> int:
+        """Billed intervals until then."""
+        return max(1, math.ceil((until - self.rented) / length - 1e-9))
+
+    def cost(self, finish: float, length: float) -> float:
+        """Price that a task until then adds."""
+        before = 0 if self.fresh and not self.reserved else self.intervals(self.committed(), length)
+        return (self.intervals(max(self.committed(), finish), length) - before) * length / 3600 * self.hourly
+
+    def take(self, start: float, finish: float, cpus: float) -> None:
+        """Reserve."""
+        self.reserved.append((start, finish, cpus))
+        if self.image_at is None:
+            self.image_at = start + self.fetch
+
+
+def fill(machines: list[PlainMachine], cpus: float, run: float, count: int, length: float) -> list[tuple[str, float]]:
+    """Algorithm 1 for one bag: the placements, as machine and start."""
+    placed = []
+    for _ in range(count):
+        options = []
+        for index, machine in enumerate(machines):
+            room = machine.room(cpus, run)
+            paid_until = machine.rented + machine.intervals(machine.committed(), length) * length
+            if room is not None and room[1] <= paid_until + 1e-9:
+                options.append((room[1], index, room[0]))
+        if not options:
+            break
+        finish, index, start = min(options)
+        machines[index].take(start, finish, cpus)
+        placed.append((machines[index].name, start))
+    return placed
+
+
+def rent(
+    machines: list[PlainMachine],
+    offers: list[tuple[PlainMachine, int]],
+    cpus: float,
+    run: float,
+    count: int,
+    due: float,
+    length: float,
+) -> tuple[str, int, float, float] | None:
+    """Algorithm 2 for one bag: the kind chosen, machines to rent, added cost and worst overrun."""
+    best: tuple[tuple[int, float, float], str, int, float, float] | None = None
+    kinds = sorted({m.kind for m in machines} | {o.kind for o, _ in offers})
+    for kind in kinds:
+        mine = [copied(m) for m in machines if m.kind == kind]
+        blank = next(((o, most) for o, most in offers if o.kind == kind), None)
+        rented, cost, worst, done = 0, 0.0, -math.inf, 0
+        for _ in range(count):
+            candidates = list(mine)
+            if blank is not None and rented < blank[1]:
+                candidates.append(copied(blank[0]))
+            scored = []
+            for index, machine in enumerate(candidates):
+                room = machine.room(cpus, run)
+                if room is None:
+                    continue
+                added = machine.cost(room[1], length)
+                new = index >= len(mine)
+                key = (0, added, machine.rented) if room[1] <= due else (1, room[1], added)
+                scored.append((key, new, index, room))
+            if not scored:
+                break
+            _, new, index, (start, finish) = min(scored)
+            chosen = candidates[index]
+            if new:
+                mine.append(chosen)
+                rented += 1
+            cost += chosen.cost(finish, length)
+            worst = max(worst, finish - due)
+            chosen.take(start, finish, cpus)
+            done += 1
+        if done:
+            score = (count - done, 0.5 * round(max(worst, 0.0) / 0.5), cost)
+            if best is None or score < best[0]:
+                best = (score, kind, rented, cost, worst)
+    return None if best is None else best[1:]
+
+
+def copied(machine: PlainMachine) -> PlainMachine:
+    """An independent copy."""
+    return PlainMachine(
+        machine.name, machine.kind, machine.cpus, machine.ready, machine.rented, machine.hourly, machine.fetch,
+        machine.image_at, list(machine.reserved), machine.fresh,
+    )  # fmt: skip
+
+
+def no_overuse(machine: PlainMachine) -> bool:
+    """At no moment is more taken than there is."""
+    moments = sorted({t for s, f, _ in machine.reserved for t in (s, f)})
+    return all(machine.used(a) <= machine.cpus + 1e-6 for a, _ in pairwise(moments))
--- /dev/null
+++ b/dappledrum/model/test_rules.py
@@ -0,0 +1,120 @@
+"""The checker finds each broken rule in a history made for it, and none in a good one."""
+
+import pytest
+
+from dappledrum.model.rules import Rules
+from dappledrum.standins.world import job
+
+HERE, THERE, ORDINARY = ("small", "a", True), ("small", "b", True), ("small", "a", False)
+
+
+def rules(*specs):
+    result = Rules(30.0, {"red": (4.0, 0.0)})
+    for spec in specs:
+        result.submitted(spec)
+        result.submit_answer(0, spec["id"], 201, "pending")
+    return result
+
+
+def good(r):
+    r.started(1, "m1", HERE, "j-000001", 0)
+    r.ended("m1", "j-000001", 0, True)
+    r.poll_answer(3, "j-000001", 200, "done")
+    r.submit_answer(4, "j-000001", 200, "done")
+
+
+def ran_twice(r):
+    r.started(1, "m1", HERE, "j-000001", 0)
+    r.started(2, "m2", HERE, "j-000001", 0)
+
+
+def quota(r):
+    for task in range(3):
+        r.started(1, "m1", HERE, "j-000002", task)
+
+
+def wrong_type(r):
+    r.started(1, "m1", HERE, "j-000003", 0)
+
+
+def wrong_kind(r):
+    r.started(1, "m1", HERE, "j-000004", 0)
+
+
+def two_zones(r):
+    r.started(1, "m1", HERE, "j-000005", 0)
+    r.started(1, "m2", THERE, "j-000005", 1)
+
+
+def no_spread(r):
+    for task in range(3):
+        r.started(1, "m1", HERE, "j-000006", task)
+
+
+def ran_cancelled(r):
+    r.started(1, "m1", HERE, "j-000001", 0)
+    r.cancel_asked("j-000001")
+    r.poll_answer(2, "j-000001", 200, "cancelled")
+    r.tick(31)
+    assert not r.broken
+    r.tick(33)
+
+
+def started_cancelled(r):
+    r.cancel_asked("j-000001")
+    r.poll_answer(2, "j-000001", 200, "cancelled")
+    r.started(40, "m1", HERE, "j-000001", 0)
+
+
+def forgotten(r):
+    r.poll_answer(2, "j-000001", 404, None)
+
+
+def refused_later(r):
+    r.submit_answer(2, "j-000001", 422, None)
+
+
+def invented(r):
+    r.poll_answer(2, "j-000077", 200, "pending")
+
+
+def not_done(r):
+    r.poll_answer(2, "j-000001", 200, "done")
+
+
+def went_back(r):
+    good(r)
+    r.poll_answer(9, "j-000001", 200, "running")
+
+
+def cancelled_unasked(r):
+    r.poll_answer(2, "j-000001", 200, "cancelled")
+
+
+SPECS = [
+    job(1, beats=1),
+    job(2, crew="red"),
+    job(3, builds=["large"]),
+    job(4, loaners=False),
+    job(5, oneZone=True),
+    job(6, spread=True),
+]
+CASES = [
+    (ran_twice, "ran_twice"), (quota, "quota"), (wrong_type, "wrong_place"), (wrong_kind, "wrong_place"),
+    (two_zones, "wrong_place"), (no_spread, "wrong_place"), (ran_cancelled, "ran_cancelled"),
+    (started_cancelled, "ran_cancelled"), (forgotten, "forgotten"), (refused_later, "forgotten"),
+    (invented, "invented"), (not_done, "not_done"), (went_back, "went_back"), (cancelled_unasked, "went_back"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("history", "rule"), CASES, ids=lambda x: getattr(x, "__name__", x))
+def test_a_broken_rule_is_found(history, rule):
+    checker = rules(*SPECS)
+    history(checker)
+    assert checker.broken and all(text.startswith(rule) for text in checker.broken)
+
+
+def test_a_good_history_passes():
+    checker = rules(*SPECS)
+    good(checker)
+    assert not checker.broken
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -21,8 +21,8 @@
 from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.messages import PromiseReply
 from dappledrum.peers.client import Peers
+from dappledrum.peers.messages import Knocks as KnocksQuestion
 from dappledrum.peers.messages import (
-    Knocks,
     KnocksReply,
     MalformedError,
     Promise,
@@ -37,6 +37,7 @@
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import State, StateError, raw
 from dappledrum.state.messages import Guard, Put
+from dappledrum.workers.knocks import Knocks, shunned
 from dappledrum.workers.messages import Redirect, Report
 
 log = logging.getLogger(__name__)
@@ -44,7 +45,7 @@
 CATALOG = "catalog"
 LEADER_SHARE = 0.6
 RELAY_TIME = timedelta(milliseconds=900)
-KNOCK_TIME = timedelta(seconds=4)
+KNOCK_TIME = timedelta(seconds=10)
 AVOID = timedelta(seconds=20)
 LIFE_MOST = timedelta(seconds=3)
 
@@ -75,7 +76,7 @@
         self.elector.on_change = self._leadership_changed
         self.intake = Intake(self.state, self.params, clock)
         self.leader: Leader | None = None
-        self.knocks: dict[str, timedelta] = {}
+        self.knocks = Knocks()
         self.is_ready = False
         self._term_begun = asyncio.Event()
         self._set_share()
@@ -162,13 +163,12 @@
             now = self.clock.now()
             if leader is None or not leader.loaded.is_set() or self.elector.leading() is None:
                 continue
-            heard = max(self.knocks.values(), default=None)
-            began = leader.began
-            if now - began < silence or (heard is not None and now - heard < silence):
+            heard = self.knocks.last
+            if now - leader.began < silence or (heard is not None and now - heard < silence):
                 continue
-            elsewhere = await self.peers.knocks(KNOCK_TIME, timedelta(seconds=1))
-            if elsewhere and self.leader is leader:
-                self.elector.resign(f"no worker reaches this controller, {elsewhere} try others", AVOID)
+            names = shunned(await self.peers.knocks(KNOCK_TIME, timedelta(seconds=1)), leader.roster)
+            if names and self.leader is leader:
+                self.elector.resign(f"no worker reaches this controller, {len(names)} try others", AVOID)
 
     # users and workers
 
@@ -244,10 +244,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             log.warning("unusable report: %s", error)
             return refusal(HTTPStatus.BAD_REQUEST, str(error))
-        now = self.clock.now()
-        self.knocks[report.machine] = now
-        if len(self.knocks) > 5_000:
-            self.knocks = {name: at for name, at in self.knocks.items() if now - at < timedelta(minutes=1)}
+        self.knocks.note(report.machine, self.clock.now())
         leader = self.leader
         if leader is not None and self.elector.holding() is leader.term:
             commands = await leader.report(report, lambda: self.elector.holding() is leader.term)
@@ -277,10 +274,9 @@
                 return RelayReply(HTTPStatus.SERVICE_UNAVAILABLE, b"{}", 1)
             response = await self._locally(Request(question.method, question.path, question.body))
             return RelayReply(response.status, response.body, response.retry_after)
-        now = self.clock.now()
-        if isinstance(question, Knocks):
+        if isinstance(question, KnocksQuestion):
             within = timedelta(milliseconds=min(max(question.within_ms, 0), 60_000))
-            return KnocksReply(sum(now - at <= within for at in self.knocks.values()))
+            return KnocksReply(self.knocks.within(within, self.clock.now()))
         assert isinstance(question, Promise)
         # Ask first, every time: while this controller is served, a leader that is refused alone must not be kept in
         # office, since leadership can simply move.
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -45,11 +45,15 @@
                 log.info("no promise from %s: %s", member, "no answer" if reply is None else reply.reason)
         return all(reply is not None and reply.granted for reply in replies)
 
-    async def knocks(self, within: timedelta, timeout: timedelta) -> int:
-        """Number of machines that have tried to report to another controller."""
+    async def knocks(self, within: timedelta, timeout: timedelta) -> dict[str, int]:
+        """Machines that have tried to report to another controller, and how often they came to the same one."""
         question = Knocks(int(within.total_seconds() * 1000))
         replies = await asyncio.gather(*(self._ask(m, question, KnocksReply, timeout) for m in self.callers))
-        return max((reply.machines for reply in replies if reply is not None), default=0)
+        result: dict[str, int] = {}
+        for reply in replies:
+            for name, count in reply.machines.items() if reply is not None else ():
+                result[name] = max(result.get(name, 0), count)
+        return result
 
     async def relay(self, member: str, request: Relay, timeout: timedelta) -> RelayReply | None:
         """Have a peer serve a user's request."""
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -31,9 +31,9 @@
 
 
 class KnocksReply(msgspec.Struct):
-    """Number of machines that tried to report here within that time."""
+    """How often each machine tried to report here within that time."""
 
-    machines: int
+    machines: dict[str, int]
 
 
 class Promise(msgspec.Struct, tag="promise", tag_field="kind"):
--- /dev/null
+++ b/dappledrum/scheduling/test_plan.py
@@ -0,0 +1,176 @@
+"""The planner against the plain model, on generated machines and bags."""
+
+import statistics
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dappledrum.clock import seconds
+from dappledrum.model.dds import PlainMachine, fill, no_overuse, rent
+from dappledrum.scheduling.deadlines import divide, stage_deadline
+from dappledrum.scheduling.estimates import Estimates, Sample
+from dappledrum.scheduling.lanes import Kind, Lanes, Size
+from dappledrum.scheduling.plan import Bag, Offer, Planner, TeamRoom
+from dappledrum.settings import Objective
+
+LENGTH = 60
+NOW = 1000
+
+machines = st.lists(
+    st.tuples(
+        st.sampled_from(["p", "q"]),
+        st.integers(0, 200),  # rented before now
+        st.integers(0, 30),  # ready after now; 0: up
+        st.booleans(),  # has the image
+        st.lists(st.tuples(st.integers(1, 4), st.integers(1, 150)), max_size=2),  # running: CPUs, seconds left
+    ),
+    max_size=4,
+)
+bags = st.tuples(st.integers(1, 4), st.integers(1, 130), st.integers(1, 9), st.integers(5, 300))
+SHAPES = {"p": (4.0, 0.4, 20), "q": (8.0, 1.0, 35)}  # CPUs, hourly, boot
+
+
+def build(rows):
+    plain, real = [], []
+    for index, (kind, age, ready, image, running) in enumerate(rows):
+        cpus, hourly, _ = SHAPES[kind]
+        at = NOW + ready
+        machine = PlainMachine(f"m{index}", kind, cpus, at, NOW - age, hourly, 10.0, at if image else None)
+        lanes = Lanes(
+            f"m{index}", Kind(kind, "z", True), Size(cpus, 0, 100), seconds(at), seconds(NOW - age), hourly, 0.5,
+            booting=ready > 0,
+        )  # fmt: skip
+        if image:
+            lanes.images["i"] = seconds(at)
+        if ready == 0:
+            for taken, left in running:
+                if machine.used(NOW) + taken <= cpus:
+                    machine.reserved.append((NOW, NOW + left, taken))
+                    lanes.reserve(seconds(NOW), seconds(NOW + left), Size(taken, 0, 1))
+        plain.append(machine)
+        real.append(lanes)
+    return plain, real
+
+
+def bag_of(cpus, run, count, due, **changes):
+    base = {
+        "id": "b", "size": Size(cpus, 0, 1), "ready": count, "unready": 0, "total": count, "run": seconds(run),
+        "due": seconds(NOW + due), "image": "i", "image_gb": 5.0, "allowed": lambda kind: True,
+    }  # fmt: skip
+    return Bag(**(base | changes))
+
+
+def offers_of(most):
+    blanks = [
+        PlainMachine("new", kind, cpus, NOW + boot, NOW, hourly, 10.0, fresh=True)
+        for kind, (cpus, hourly, boot) in SHAPES.items()
+    ]
+    offers = [
+        Offer(Kind(kind, "z", True), Size(cpus, 0, 100), hourly, seconds(boot), 0.5, most)
+        for kind, (cpus, hourly, boot) in SHAPES.items()
+    ]
+    return [(blank, most) for blank in blanks], offers
+
+
+def planner(lanes, offers=(), share=0.3, room=None):
+    return Planner(seconds(NOW), lanes, offers, seconds(LENGTH), share, TeamRoom(room or {}))
+
+
+@settings(max_examples=250, derandomize=True, deadline=None)
+@given(machines, bags)
+def test_idle_fill_is_algorithm_1(rows, bag):
+    cpus, run, count, due = bag
+    plain, real = build(rows)
+    expected = fill(plain, cpus, run, count, LENGTH)
+    plan = planner(real).run([bag_of(cpus, run, count, due, held=True)])
+    now = {name for name, start in expected if start <= NOW}
+    starts = {name: n for _, name, n in plan.starts}
+    assert sum(lanes.planned for lanes in real) == len(expected)
+    assert set(starts) == now
+    assert sum(starts.values()) == sum(start <= NOW for _, start in expected)
+    assert plan.needed == {name for name, _ in expected}
+    assert all(no_overuse(machine) for machine in plain)
+    assert not plan.rentals
+
+
+@settings(max_examples=250, derandomize=True, deadline=None)
+@given(machines, bags, st.integers(0, 6))
+def test_renting_is_algorithm_2(rows, bag, most):
+    cpus, run, count, due = bag
+    plain, real = build(rows)
+    blanks, offers = offers_of(most)
+    left = count - len(fill(plain, cpus, run, count, LENGTH))
+    expected = rent(plain, blanks, cpus, run, left, NOW + due, LENGTH) if left else None
+    plan = planner(real, offers).run([bag_of(cpus, run, count, due)])
+    rented = {kind.type: number for kind, number in plan.rentals.items()}
+    if expected is None:
+        assert not rented
+    else:
+        kind, number, _, worst = expected
+        assert rented == ({kind: number} if number else {})
+        assert ("b" in plan.late) == (worst > 0)
+
+
+def test_a_stage_waits_until_enough_of_it_is_ready():
+    _, offers = offers_of(5)
+    assert not planner([], offers).run([bag_of(2, 30, 3, 100, unready=7, total=10)]).rentals
+    assert planner([], offers).run([bag_of(2, 30, 4, 100, unready=6, total=10)]).rentals
+    assert planner([], offers).run([bag_of(2, 30, 1, 100, unready=0, total=10)]).rentals
+
+
+def test_urgency_goes_before_the_papers_order():
+    _, lanes = build([("p", 5, 0, True, [])])
+    low = bag_of(4, 50, 1, 300, id="low", rank=(1, 3), held=True)
+    high = bag_of(4, 20, 1, 300, id="high", rank=(1, 1), held=True)
+    assert [start[0] for start in planner(lanes).run([low, high]).starts] == ["high"]
+
+
+def test_team_limit_spread_and_one_zone():
+    def four(room=None, **changes):
+        lanes = [
+            Lanes(f"m{i}", Kind("p", zone, True), Size(4, 0, 100), seconds(NOW), seconds(NOW - 1), 0.4, 0.5)
+            for i, zone in enumerate("aabb")
+        ]
+        plan = planner(lanes, room=room).run([bag_of(4, 20, 4, 300, team="t", **changes)])
+        return [lanes[int(name[1:])].kind.zone for _, name, _ in plan.starts]
+
+    assert len(four()) == 4
+    assert len(four(room={"t": Size(8, 1e9, 1e9)})) == 2
+    assert sorted(four(zone_room={"a": 2, "b": 1})) == ["a", "a", "b"]
+    assert len(set(four(one_zone=True))) == 1
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.lists(st.floats(0.1, 500), min_size=1, max_size=30), st.floats(1, 300))
+def test_estimates_are_mean_and_deviation(times, expected):
+    """With the prior as three tasks at the expected time, and a quarter of it as their deviation."""
+    estimates = Estimates()
+    for took in times:
+        estimates.jobs.setdefault("j", Sample()).add(took)
+    mean, deviation = estimates.moments("j", "class", seconds(expected))
+    step = expected * 0.25
+    prior = [expected - step * 1.5**0.5, expected, expected + step * 1.5**0.5]
+    assert abs(mean.total_seconds() - statistics.fmean(prior + times)) < 1e-3 * (1 + mean.total_seconds())
+    assert abs(deviation.total_seconds() - statistics.pstdev(prior + times)) < 1e-2 * (1 + deviation.total_seconds())
+
+
+def test_a_class_that_takes_twice_as_long_as_said_is_learned():
+    estimates = Estimates()
+    assert estimates.task_time("new", "slow", seconds(10)) == seconds(12.5)
+    for _ in range(30):
+        estimates.learn("old", "slow", seconds(10), seconds(20))
+    assert seconds(22) < estimates.task_time("new", "slow", seconds(10)) < seconds(26)
+
+
+def test_deadlines_come_from_the_owner_or_the_objectives():
+    objectives = [
+        Objective("finished", job_class="x", within_s=100),
+        Objective("wait", job_class="x", within_s=20),
+        Objective("finished", job_class="y", within_s=5),
+    ]
+    assert stage_deadline(objectives, "x", None, seconds(30)) == seconds(50)
+    assert stage_deadline(objectives, "x", seconds(40), seconds(30)) == seconds(40)
+    assert stage_deadline(objectives, "z", None, seconds(30)) is None
+    assert divide(seconds(100), [seconds(1), seconds(3)]) == [seconds(25), seconds(100)]
+    assert divide(timedelta(0), [timedelta(0)]) == [timedelta(0)]
--- a/dappledrum/standins/fleet.py
+++ b/dappledrum/standins/fleet.py
@@ -233,7 +233,14 @@
         rng: random.Random, lag_s: float,
     ) -> None:  # fmt: skip
         self.types = types
-        self.network, self.rules, self.timing, self.nodes, self.rng, self.lag_s = network, rules, timing, nodes, rng, lag_s
+        self.network, self.rules, self.timing, self.nodes, self.rng, self.lag_s = (
+            network,
+            rules,
+            timing,
+            nodes,
+            rng,
+            lag_s,
+        )
         self.machines: dict[str, Rented] = {}
         self.answers: dict[str, list[str]] = {}
         self.snapshots: list[tuple[float, list[dict[str, Any]]]] = []
--- /dev/null
+++ b/dappledrum/state/test_state.py
@@ -0,0 +1,111 @@
+"""Budgets, and what each kind of failure is taken for."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import pytest
+
+from dappledrum.clock import ZERO, Clock, seconds
+from dappledrum.http.client import NoResponseError, NotSentError, Reply
+from dappledrum.settings import StateLimits
+from dappledrum.standins.time import run
+from dappledrum.state.budget import Budget, Rank
+from dappledrum.state.client import (
+    CompactedError,
+    ConflictError,
+    LeaseLostError,
+    RefusedError,
+    State,
+    UnknownError,
+    raw,
+)
+from dappledrum.state.messages import Guard, Put
+
+
+def test_a_budget_keeps_the_rate_and_its_reserves():
+    budget = Budget(10, ZERO)
+    taken = 0
+    now = ZERO
+    for step in range(10_000):
+        now = seconds(step / 1000)
+        if budget.wait(1, Rank.POLL, now) == ZERO:
+            budget.take(1, now)
+            taken += 1
+    assert 100 <= taken <= 110
+    assert budget.wait(1, Rank.INTAKE, now) == ZERO
+    assert budget.wait(1, Rank.LEASE, now) == ZERO
+    assert budget.wait(1, Rank.POLL, now) > ZERO
+
+
+class Canned:
+    """A service that answers with what it is given."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.paths = []
+
+    async def request(self, method, path, body, timeout):
+        self.paths.append(path)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+ANSWERS = [
+    (Reply(503, b"{}"), RefusedError),
+    (Reply(429, b"{}"), RefusedError),
+    (NotSentError("refused"), RefusedError),
+    (NoResponseError("time"), UnknownError),
+    (Reply(500, b"{}"), UnknownError),
+    (Reply(200, b'{"tally":'), UnknownError),
+    (Reply(200, b'{"tally":"x"}'), UnknownError),
+    (Reply(200, b"\xff"), UnknownError),
+    (Reply(409, b'{"failed":["a"],"tally":3}'), ConflictError),
+    (Reply(400, b'{"error":"no such lease"}'), LeaseLostError),
+    (Reply(400, b'{"error":"malformed"}'), UnknownError),
+    (Reply(302, b"{}"), UnknownError),
+]
+
+
+@pytest.mark.parametrize(("answer", "error"), ANSWERS)
+def test_failures_of_a_transaction(answer, error):
+    async def main():
+        state = State(Canned(answer), StateLimits(100, 100, 8, 24), Clock(), random.Random(1))
+        with pytest.raises(error):
+            await state.commit([Guard("a", 0)], [Put("a", raw(1))], Rank.RECORD)
+
+    run(main())
+
+
+def test_a_404_that_is_not_the_services_proves_nothing():
+    async def main():
+        state = State(Canned(Reply(404, b"<html>")), StateLimits(100, 100, 8, 24), Clock(), random.Random(1))
+        with pytest.raises(UnknownError):
+            await state.get("job/j-1", Rank.POLL)
+        state.caller = Canned(Reply(404, b'{"tally":3}'))
+        assert await state.get("job/j-1", Rank.POLL) is None
+        state.caller = Canned(Reply(410, b"{}"))
+        with pytest.raises(CompactedError):
+            await state.watch("job/", 1, ZERO, Rank.POLL)
+
+    run(main())
+
+
+def test_trouble_is_known_after_failures_and_over_after_an_answer():
+    async def main():
+        caller = Canned(Reply(503, b"{}"))
+        state = State(caller, StateLimits(100, 100, 8, 24), Clock(), random.Random(1))
+        for _ in range(3):
+            with pytest.raises(RefusedError):
+                await state.get("x", Rank.RECORD)
+            await asyncio.sleep(0.4)
+        assert state.troubled()
+        caller.answer = Reply(200, b'{"tally":1,"events":[]}')
+        await state.watch("x", 1, timedelta(seconds=1), Rank.RECORD)
+        assert state.troubled()  # an open watch may end in an outage, too
+        caller.answer = Reply(404, b'{"tally":1}')
+        await state.get("x", Rank.RECORD)
+        assert not state.troubled()
+
+    run(main())
--- /dev/null
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -0,0 +1,250 @@
+"""When an attempt is proven gone, and when it is not: the cases on which ran_twice hangs."""
+
+import asyncio
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+import pytest
+
+from dappledrum.clock import Clock
+from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record import Job
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.settings import WorkerLimits
+from dappledrum.standins.time import run
+from dappledrum.standins.world import job
+from dappledrum.workers.bookkeeping import Bookkeeper
+from dappledrum.workers.knocks import shunned
+from dappledrum.workers.messages import Report, TaskReport
+from dappledrum.workers.roster import Roster
+
+TOKEN = 5
+
+
+class Desk:
+    """A bookkeeper with one job, whose first task is placed on machine m in session 1 and stored."""
+
+    def __init__(self):
+        spec = {key: value for key, value in job(1).items() if key != "runS"}
+        self.job = Job(JobRecord(msgspec.convert(spec, Spec), 0, 256, PageRecord()), 1)
+        self.roster = Roster()
+        limits = WorkerLimits(1.0, 9.0, 30.0)
+        self.books = Bookkeeper(
+            {self.job.id: self.job},
+            self.roster,
+            Estimates(),
+            limits,
+            Clock(),
+            TOKEN,
+            lambda page: None,
+            lambda why: None,
+        )
+        self.page = self.job.page(0)
+        self.report(1)
+        machine = self.roster.get("m")
+        self.placement = self.page.place(0, "m", 1, "a", datetime.now(UTC))
+        machine.placements[(self.job.id, 0)] = self.placement
+
+    def save(self):
+        self.page.saved = self.page.revision
+
+    def report(self, sequence, *tasks, session=1, token=TOKEN):
+        """Take a report and return the answer's commands."""
+        items = [TaskReport("j-000001/0", attempt, state, cause) for attempt, state, cause in tasks]
+        report = Report("m", "10.1.0.1:1", "small", "a", True, session, sequence, token, None, items)
+        machine = self.books.take(report)
+        if machine is None:
+            return None
+        machine.last_answer = self.books.clock.now()
+        return [(c.op, c.attempt) for c in self.books.commands(machine, report, True)]
+
+    @property
+    def gone(self):
+        return 0 not in self.page.places
+
+
+RUNNING, DONE, STOPPED = (1, "running", None), (1, "ended", "done"), (1, "ended", "stopped")
+
+
+def case(check):
+    async def main():
+        check(Desk())
+
+    run(main())
+
+
+def test_no_start_before_its_record_is_stored():
+    def check(desk):
+        assert desk.report(2) == []
+        desk.save()
+        assert desk.report(3) == [("start", 1)]
+        assert desk.report(4) == [("start", 1)]  # the answer may have been lost; the same attempt can be repeated
+        assert desk.report(5, RUNNING) == []
+
+    case(check)
+
+
+def test_absent_from_a_report_that_proves_something():
+    def check(desk):
+        desk.save()
+        desk.report(2)
+        desk.report(3, RUNNING)
+        desk.report(4)
+        assert desk.gone
+
+    case(check)
+
+
+def test_absent_from_a_report_held_back_under_a_predecessor():
+    def check(desk):
+        desk.save()
+        desk.placement.seen = True
+        desk.report(2, token=TOKEN - 1)
+        assert not desk.gone
+        desk.report(3)
+        assert desk.gone
+
+    case(check)
+
+
+def test_an_old_report_changes_nothing():
+    def check(desk):
+        desk.save()
+        desk.report(5)
+        desk.report(7, RUNNING)
+        assert desk.report(6) is None
+        assert not desk.gone
+
+    case(check)
+
+
+def test_a_newer_session_and_an_older_one():
+    def check(desk):
+        desk.save()
+        desk.report(3, RUNNING)
+        assert desk.report(9, session=0) is None
+        assert not desk.gone
+        desk.report(1, session=2)
+        assert desk.gone
+
+    case(check)
+
+
+def test_a_placement_in_a_session_that_is_over_is_never_started():
+    def check(desk):
+        desk.save()
+        assert desk.report(1, session=2) == []
+        assert desk.gone
+
+    case(check)
+
+
+def test_an_end_is_forgotten_only_when_it_is_stored():
+    def check(desk):
+        desk.save()
+        desk.report(2)
+        assert desk.report(3, DONE) == []
+        assert desk.page.is_done(0) and desk.gone
+        desk.save()
+        assert desk.report(4, DONE) == [("forget", 1)]
+
+    case(check)
+
+
+def test_cancelled_tasks_are_stopped_until_they_are_gone():
+    def check(desk):
+        desk.save()
+        desk.report(2)
+        desk.report(3, RUNNING)
+        desk.job.cancelled = True
+        assert desk.report(4, RUNNING) == [("stop", 1)]
+        assert not desk.gone
+        desk.report(5, STOPPED)
+        assert desk.gone
+
+    case(check)
+
+
+def test_a_cancelled_start_that_was_never_sent_or_is_proven_lost():
+    def check(desk):
+        desk.save()
+        assert desk.report(2) == [("start", 1)]
+        desk.job.cancelled = True
+        assert desk.report(3) == []
+        assert desk.gone
+
+    case(check)
+
+
+def test_an_unknown_attempt_is_stopped():
+    def check(desk):
+        desk.save()
+        desk.report(2)
+        assert desk.report(3, RUNNING, (77, "running", None)) == [("stop", 77)]
+        assert not desk.gone
+
+    case(check)
+
+
+@pytest.mark.parametrize(("silence", "gone"), [(8.9, False), (9.05, False), (9.6, True)])
+def test_silence_counts_from_the_last_possible_answer(silence, gone):
+    async def main():
+        desk = Desk()
+        desk.save()
+        desk.report(2, RUNNING)
+        await asyncio.sleep(silence)
+        desk.books.sweep()
+        assert desk.gone is gone
+
+    run(main())
+
+
+def test_a_predecessor_may_have_answered_until_now():
+    async def main():
+        desk = Desk()
+        desk.save()
+        await asyncio.sleep(100)
+        desk.roster.machines.clear()
+        desk.books.restore(desk.job)
+        await asyncio.sleep(8.9)
+        desk.books.sweep()
+        assert not desk.gone
+        await asyncio.sleep(0.7)
+        desk.books.sweep()
+        assert desk.gone
+
+    run(main())
+
+
+def test_returned_machines_stay_gone():
+    def check(desk):
+        desk.books.returned(desk.roster.get("m"))
+        assert desk.gone
+        assert desk.report(9, RUNNING) is None
+        assert desk.roster.get("m") is None
+
+    case(check)
+
+
+def test_faults_are_laid_on_the_machine_or_on_the_job():
+    def check(desk):
+        desk.save()
+        for attempt in range(1, 4):
+            desk.report(attempt * 2, (attempt, "ended", "error"))
+            desk.placement = desk.page.place(0, "m", 1, "a", datetime.now(UTC))
+            desk.roster.get("m").placements[(desk.job.id, 0)] = desk.placement
+        assert desk.roster.get("m").draining
+        assert desk.job.retry_at == timedelta(0)
+
+    case(check)
+
+
+def test_who_should_have_been_heard_of():
+    """A first knock elsewhere of a machine that has just come up made leaders resign for nothing."""
+
+    def check(desk):
+        assert shunned({"new": 1}, desk.roster) == []
+        assert shunned({"new": 2}, desk.roster) == ["new"]
+        assert shunned({"m": 1}, desk.roster) == ["m"]
+
+    case(check)
