--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -11,7 +11,7 @@
 from dappledrum.jobs.intake import allowed
 from dappledrum.jobs.messages import RANKS, Form
 from dappledrum.jobs.record import Job, Page, Placement
-from dappledrum.scheduling.deadlines import stage_deadline
+from dappledrum.scheduling.deadlines import next_deadline, stage_deadlines
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.scheduling.lanes import Kind, Lanes, Size
 from dappledrum.scheduling.plan import Bag, Offer, Plan, Planner, TeamRoom
@@ -24,6 +24,7 @@
 MOST_READY = 400  # tasks of one job that a plan looks at
 MOST_RENTED = 20  # machines of one kind that a plan asks for
 NO_LIMIT = 1e18
+OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
 
 
 @dataclass(frozen=True)
@@ -131,11 +132,15 @@
             return None
         held = len(job.errors) >= 3
         run = self.task_time(job)
-        due = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
-        limit = stage_deadline(self.params.objectives, spec.job_class, due, run)
-        if limit is None:
-            limit = timedelta(seconds=30) if spec.form is Form.SERVICE else run * 4 + self.tuning.interval
-        age = max(self.clock.today() - job.accepted_at, ZERO)
+        own = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
+        limits = stage_deadlines(self.params.objectives, spec.job_class, own, run)
+        if not limits:
+            limits = [run + timedelta(seconds=30) if spec.form is Form.SERVICE else run * 4 + self.tuning.interval]
+        age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
+        limit = next_deadline(limits, age + run * OPTIMISM)
+        # Too late for everything: what can still be in time goes first, and nothing dear is rented for it.
+        missed = limit is None
+        due = now + (limits[-1] if limit is None else limit) - age
         zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
         return Bag(
             id=job.id,
@@ -144,15 +149,16 @@
             unready=0,
             total=spec.tasks,
             run=run,
-            due=now + limit - age - self.params.workers.report,
+            due=due,
             image=spec.image,
             image_gb=spec.image_gb,
             allowed=self._allowed(job, zones if spec.one_zone else set()),
-            rank=(0 if job.id in self.guaranteed else 1, RANKS[spec.priority]),
+            rank=(0 if job.id in self.guaranteed else 1, missed, (due - run).total_seconds(), RANKS[spec.priority]),
             one_zone=spec.one_zone and not zones,
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
             held=held,
+            thrifty=missed,
         )
 
     def _allowed(self, job: Job, zones: set[str]) -> Callable[[Kind], bool]:
--- a/dappledrum/model/dds.py
+++ b/dappledrum/model/dds.py
@@ -67,10 +67,10 @@
             room = machine.room(cpus, run)
             paid_until = machine.rented + machine.intervals(machine.committed(), length) * length
             if room is not None and room[1] <= paid_until + 1e-9:
-                options.append((room[1], index, room[0]))
+                options.append((room[1], machine.hourly / machine.cpus, -machine.committed(), index, room[0]))
         if not options:
             break
-        finish, index, start = min(options)
+        finish, _, _, index, start = min(options)
         machines[index].take(start, finish, cpus)
         placed.append((machines[index].name, start))
     return placed
--- a/dappledrum/scheduling/deadlines.py
+++ b/dappledrum/scheduling/deadlines.py
@@ -24,18 +24,23 @@
     return result
 
 
-def stage_deadline(
+def stage_deadlines(
     objectives: Sequence[Objective], job_class: str, due: timedelta | None, task_time: timedelta
-) -> timedelta | None:
-    """Time from acceptance until the stage should be complete; None when nobody expects anything."""
-    limits: list[timedelta] = []
+) -> list[timedelta]:
+    """Times from acceptance by which somebody expects the stage to be complete, the earliest first."""
+    limits: set[timedelta] = set()
     for objective in objectives:
         if objective.job_class not in (None, job_class):
             continue
         if objective.kind == "finished" and objective.within_s is not None:
-            limits.append(seconds(objective.within_s))
+            limits.add(seconds(objective.within_s))
         elif objective.kind == "wait" and objective.within_s is not None:
-            limits.append(seconds(objective.within_s) + task_time)
+            limits.add(seconds(objective.within_s) + task_time)
     if due is not None:
-        limits.append(due)
-    return min(limits, default=None)
+        limits.add(due)
+    return sorted(limits)
+
+
+def next_deadline(limits: Sequence[timedelta], least: timedelta) -> timedelta | None:
+    """The first deadline that can still be kept by work that takes at least so long from now."""
+    return next((limit for limit in limits if limit >= least), None)
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -30,11 +30,12 @@
     image: str
     image_gb: float
     allowed: Callable[[Kind], bool]
-    rank: tuple[int, ...] = ()  # exceptions that come before the paper's order; smaller goes first
+    rank: tuple[float, ...] = ()  # exceptions that come before the paper's order; smaller goes first
     one_zone: bool = False
     zone_room: dict[str, int] | None = None  # spread: how many more tasks each zone may take
     team: str = ""
     held: bool = False  # placed only, nothing is rented for it
+    thrifty: bool = False  # too late anyway: only the cheaper kind of machine is rented for it
 
 
 @dataclass
@@ -166,7 +167,9 @@
             self._refresh(gaps, index, lanes, bag)
         placed = 0
         while placed < count and gaps:
-            index = min(gaps, key=lambda i: (gaps[i].finish, i))
+            # Equal finishes are common, as free lanes start at once: take the cheaper machine, then the one that is
+            # committed for longest, so that the others fall idle and can be returned.
+            index = min(gaps, key=lambda i: (gaps[i].finish, usable[i].hourly_cpu, -usable[i].committed, i))
             lanes, gap = usable[index], gaps[index]
             take = self._cap(bag, lanes.kind.zone, min(gap.count, count - placed))
             if take <= 0:
@@ -223,6 +226,8 @@
         """Spread the tasks over machines of one kind: the cheapest lane in time, else the earliest finish."""
         trial = _Trial()
         offer = next((o for o in self.offers if o.kind == kind), None)
+        if bag.thrifty and not kind.spot and bag.allowed(kind._replace(spot=True)):
+            offer = None
         own: list[tuple[Lanes, Lanes, bool]] = [(x, x.copy(), False) for x in self.lanes if x.kind == kind]
         gaps: list[Gap | None] = [x[1].earliest(bag.size, bag.run, bag.image, bag.image_gb) for x in own]
         room = self._cap(bag, kind.zone, count)
