--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -9,7 +9,7 @@
 from dappledrum.fleet.keeper import Keeper
 from dappledrum.fleet.messages import MachineType
 from dappledrum.jobs.intake import allowed
-from dappledrum.jobs.messages import RANKS, Form
+from dappledrum.jobs.messages import RANKS, Form, Priority
 from dappledrum.jobs.record import Job, Page, Placement
 from dappledrum.scheduling.deadlines import next_deadline, stage_deadlines
 from dappledrum.scheduling.estimates import Estimates
@@ -63,14 +63,7 @@
         now = self.clock.now()
         lanes = [view for machine in self.roster if (view := self._lanes(machine, now)) is not None]
         bags = [bag for job in self._in_order() if (bag := self._bag(job, now)) is not None]
-        planner = Planner(
-            now,
-            lanes,
-            self._offers(),
-            self.tuning.interval,
-            self.tuning.ready_share,
-            TeamRoom(self._team_room()),
-        )
+        planner = Planner(now, lanes, self._offers(), self.tuning.ready_share, TeamRoom(self._team_room()))
         plan = planner.run(bags)
         for bag, name, count in plan.starts:
             self._place(self.jobs[bag], name, count)
@@ -102,7 +95,7 @@
         until = None if machine.recall_at is None else machine.recall_at - timedelta(seconds=1)
         lanes = Lanes(
             machine.name, kind, Size(model.cpus, model.gpus, model.memory_gb), ready_at, machine.rented_at,
-            model.hourly(kind.spot), model.fetch_gb_per_s, until, booting=not machine.up,
+            model.hourly(kind.spot), model.fetch_gb_per_s, self.keeper.interval(kind), until, booting=not machine.up,
         )  # fmt: skip
         for image in machine.images:
             lanes.images[image] = ready_at
@@ -153,7 +146,7 @@
             image=spec.image,
             image_gb=spec.image_gb,
             allowed=self._allowed(job, zones if spec.one_zone else set()),
-            rank=(0 if job.id in self.guaranteed else 1, missed, (due - run).total_seconds(), RANKS[spec.priority]),
+            rank=self._rank(job, missed, due - run),
             one_zone=spec.one_zone and not zones,
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
@@ -161,6 +154,13 @@
             thrifty=missed,
         )
 
+    def _rank(self, job: Job, missed: bool, latest_start: timedelta) -> tuple[float, ...]:
+        """What comes before the paper's order: guarantees, then what can still be in time, then high urgency, which
+        could preempt the rest anyway, then the least slack."""
+        urgency = RANKS[job.spec.priority]
+        guaranteed = job.id in self.guaranteed
+        return not guaranteed, missed, min(urgency, RANKS[Priority.NORMAL]), latest_start.total_seconds(), urgency
+
     def _allowed(self, job: Job, zones: set[str]) -> Callable[[Kind], bool]:
         spec = job.spec
         types: dict[str, MachineType] = self.keeper.types
@@ -192,7 +192,17 @@
                         continue
                     capacity = Size(model.cpus, model.gpus, model.memory_gb)
                     boot = model.boot * 1.25
-                    result.append(Offer(kind, capacity, model.hourly(spot), boot, model.fetch_gb_per_s, MOST_RENTED))
+                    result.append(
+                        Offer(
+                            kind,
+                            capacity,
+                            model.hourly(spot),
+                            boot,
+                            model.fetch_gb_per_s,
+                            self.keeper.interval(kind),
+                            MOST_RENTED,
+                        )
+                    )
         return result
 
     def _team_room(self) -> dict[str, Size | None]:
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -8,7 +8,7 @@
 from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.cloud import Cloud, CloudError, NoCapacityError
 from dappledrum.fleet.messages import ListedMachine, MachineType, RentalRequest
-from dappledrum.scheduling.lanes import Kind
+from dappledrum.scheduling.lanes import Kind, billed_interval
 from dappledrum.settings import Params
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.roster import Machine, Roster
@@ -45,7 +45,7 @@
         self.params = params
         self.clock = clock
         self.epoch = epoch
-        self.interval = interval
+        self.base_interval = interval
         self.leading = leading
         self.wake = wake
         self.types: dict[str, MachineType] = {}
@@ -64,6 +64,13 @@
         until = self.aside.get(kind)
         return until is None or self.clock.now() >= until[0]
 
+    def interval(self, kind: Kind) -> timedelta:
+        """Length of a billed interval."""
+        model = self.types.get(kind.type)
+        if model is None:
+            return self.base_interval
+        return billed_interval(self.base_interval, model.price, model.hourly(kind.spot))
+
     def ready_at(self, machine: Machine) -> timedelta:
         """When a booting machine is expected to be up."""
         boot = self._boot(machine)
@@ -175,7 +182,8 @@
             return "it is unhealthy"
         if not machine.up or not self.planned or machine.name in self.needed:
             return None
-        left = self.interval - (now - machine.rented_at) % self.interval
+        interval = self.interval(machine.kind) if machine.kind is not None else self.base_interval
+        left = interval - (now - machine.rented_at) % interval
         return "it is idle at the end of its interval" if left <= timedelta(seconds=1) else None
 
     def _connected(self, now: timedelta) -> bool:
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -61,6 +61,7 @@
         rented_at: timedelta,
         hourly: float,
         fetch_gb_per_s: float,
+        interval: timedelta,
         until: timedelta | None = None,
         booting: bool = False,
     ) -> None:
@@ -73,6 +74,7 @@
         self.hourly = hourly
         self.hourly_cpu = hourly / max(free.cpus, 1e-3)
         self.fetch_gb_per_s = fetch_gb_per_s
+        self.interval = interval
         self.until = until
         self.booting = booting
         self.committed = ready_at
@@ -140,16 +142,22 @@
         if image not in self.images:
             self.images[image] = start + timedelta(seconds=image_gb / max(self.fetch_gb_per_s, 1e-3))
 
-    def intervals(self, until: timedelta, interval: timedelta) -> int:
+    def intervals(self, until: timedelta) -> int:
         """Billed intervals from the rental until then."""
-        return max(1, math.ceil((until - self.rented_at) / interval - 1e-9))
+        return max(1, math.ceil((until - self.rented_at) / self.interval - 1e-9))
 
-    def billed_until(self, interval: timedelta) -> timedelta:
+    def billed_until(self) -> timedelta:
         """End of the last interval that the machine is committed to."""
-        return self.rented_at + self.intervals(self.committed, interval) * interval
+        return self.rented_at + self.intervals(self.committed) * self.interval
 
-    def added_cost(self, finish: timedelta, interval: timedelta, fresh: bool) -> float:
+    def added_cost(self, finish: timedelta, fresh: bool) -> float:
         """Price of the intervals that a task until then would add; a machine not rented yet adds all of its own."""
-        after = self.intervals(max(self.committed, finish), interval)
-        before = 0 if fresh else self.intervals(self.committed, interval)
-        return (after - before) * interval.total_seconds() / 3600 * self.hourly
+        after = self.intervals(max(self.committed, finish))
+        before = 0 if fresh else self.intervals(self.committed)
+        return (after - before) * self.interval.total_seconds() / 3600 * self.hourly
+
+
+def billed_interval(base: timedelta, ordinary: float, hourly: float, most: float = 4.0) -> timedelta:
+    """The interval L of a machine. Billing is by the second, so L is ours to choose (the paper has one for each type):
+    an interval of a cheap machine is longer, so that it costs as much as one of an ordinary machine of its type."""
+    return base * min(max(ordinary / max(hourly, 1e-9), 1.0), most)
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -47,6 +47,7 @@
     hourly: float
     boot: timedelta
     fetch_gb_per_s: float
+    interval: timedelta
     most: int
 
 
@@ -86,14 +87,12 @@
         now: timedelta,
         lanes: Sequence[Lanes],
         offers: Sequence[Offer],
-        interval: timedelta,
         ready_share: float,
         team_room: TeamRoom,
     ) -> None:
         self.now = now
         self.lanes = list(lanes)
         self.offers = list(offers)
-        self.interval = interval
         self.ready_share = ready_share
         self.team_room = team_room
         self.plan = Plan()
@@ -182,7 +181,7 @@
 
     def _refresh(self, gaps: dict[int, Gap], index: int, lanes: Lanes, bag: Bag) -> None:
         gap = lanes.earliest(bag.size, bag.run, bag.image, bag.image_gb)
-        if gap is not None and gap.finish <= lanes.billed_until(self.interval):
+        if gap is not None and gap.finish <= lanes.billed_until():
             gaps[index] = gap
         else:
             gaps.pop(index, None)
@@ -258,7 +257,7 @@
             assert gap is not None
             number = min(gap.count, room - trial.placed)
             blank_now = fresh and lanes.planned == 0
-            trial.cost += lanes.added_cost(gap.finish, self.interval, fresh=blank_now)
+            trial.cost += lanes.added_cost(gap.finish, fresh=blank_now)
             trial.overrun = max(trial.overrun, gap.finish - bag.due)
             trial.steps.append((target, gap, number, fresh))
             trial.placed += number
@@ -272,7 +271,7 @@
         self, bag: Bag, lanes: Lanes, gap: Gap, fresh: bool, unrented: bool, index: int
     ) -> tuple[int, float, float, int, int]:
         """In time: by cost, then age of the rental. Too late: by finish, then cost."""
-        cost = lanes.added_cost(gap.finish, self.interval, fresh=unrented or (fresh and lanes.planned == 0))
+        cost = lanes.added_cost(gap.finish, fresh=unrented or (fresh and lanes.planned == 0))
         if gap.finish <= bag.due:
             return 0, cost, lanes.rented_at.total_seconds(), unrented, index
         return 1, gap.finish.total_seconds(), cost, unrented, index
@@ -281,7 +280,7 @@
         """A machine that would be rented now. Its boot is paid for, so its intervals count from now."""
         return Lanes(
             "", offer.kind, offer.capacity, self.now + offer.boot, self.now, offer.hourly, offer.fetch_gb_per_s,
-            booting=True,
+            offer.interval, booting=True,
         )  # fmt: skip
 
 
