--- a/dappledrum/model/dds.py
+++ b/dappledrum/model/dds.py
@@ -58,15 +58,19 @@
             self.image_at = start + self.fetch
 
 
-def fill(machines: list[PlainMachine], cpus: float, run: float, count: int, length: float) -> list[tuple[str, float]]:
-    """Algorithm 1 for one bag: the placements, as machine and start."""
+def fill(
+    machines: list[PlainMachine], cpus: float, run: float, count: int, length: float, now: float, due: float
+) -> list[tuple[str, float]]:
+    """Algorithm 1 for one bag: the placements, as machine and start. A task that would wait and be late is left out."""
     placed = []
     for _ in range(count):
         options = []
         for index, machine in enumerate(machines):
             room = machine.room(cpus, run)
             paid_until = machine.rented + machine.intervals(machine.committed(), length) * length
-            if room is not None and room[1] <= paid_until + 1e-9:
+            if room is None or (room[0] > now and room[1] > due):
+                continue
+            if room[1] <= paid_until + 1e-9:
                 options.append((room[1], machine.hourly / machine.cpus, -machine.committed(), index, room[0]))
         if not options:
             break
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -77,7 +77,6 @@
         self.intake = Intake(self.state, self.params, clock)
         self.leader: Leader | None = None
         self.knocks = Knocks()
-        self.is_ready = False
         self._term_begun = asyncio.Event()
         self._set_share()
 
@@ -134,7 +133,6 @@
     async def _stored_types(self) -> list[MachineType]:
         try:
             entry = await self.state.get(CATALOG, Rank.INTAKE)
-            self.is_ready = True
             return msgspec.json.decode(entry.value, type=Catalog).types if entry is not None else []
         except (StateError, msgspec.DecodeError) as error:
             log.info("no stored catalog: %s", error)
@@ -199,7 +197,7 @@
 
     async def _ready(self, _request: Request) -> Response:
         """Ready once the state service was reached; an outage later on changes nothing, flapping is worse."""
-        return Response(HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE)
+        return Response(HTTPStatus.OK if self.state.reached else HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def _for_user(self, request: Request) -> Response:
         """Serve a user here, or through a peer while the state service does not serve this controller."""
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -181,7 +181,10 @@
 
     def _refresh(self, gaps: dict[int, Gap], index: int, lanes: Lanes, bag: Bag) -> None:
         gap = lanes.earliest(bag.size, bag.run, bag.image, bag.image_gb)
-        if gap is not None and gap.finish <= lanes.billed_until():
+        # The paper's rule has no eye on deadlines, and would queue a task on a paid lane until long after its own: a
+        # task that would both wait and be late is left to Algorithm 2, which can rent.
+        in_time = gap is not None and (gap.start <= self.now or gap.finish <= bag.due)
+        if gap is not None and in_time and gap.finish <= lanes.billed_until():
             gaps[index] = gap
         else:
             gaps.pop(index, None)
--- a/dappledrum/scheduling/test_plan.py
+++ b/dappledrum/scheduling/test_plan.py
@@ -82,7 +82,7 @@
 def test_idle_fill_is_algorithm_1(rows, bag):
     cpus, run, count, due = bag
     plain, real = build(rows)
-    expected = fill(plain, cpus, run, count, LENGTH)
+    expected = fill(plain, cpus, run, count, LENGTH, NOW, NOW + due)
     plan = planner(real).run([bag_of(cpus, run, count, due, held=True)])
     now = {name for name, start in expected if start <= NOW}
     starts = {name: n for _, name, n in plan.starts}
@@ -100,7 +100,7 @@
     cpus, run, count, due = bag
     plain, real = build(rows)
     blanks, offers = offers_of(most)
-    left = count - len(fill(plain, cpus, run, count, LENGTH))
+    left = count - len(fill(plain, cpus, run, count, LENGTH, NOW, NOW + due))
     expected = rent(plain, blanks, cpus, run, left, NOW + due, LENGTH) if left else None
     plan = planner(real, offers).run([bag_of(cpus, run, count, due)])
     rented = {kind.type: number for kind, number in plan.rentals.items()}
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -82,6 +82,7 @@
         self.backoff = ZERO
         self.failing_since: timedelta | None = None
         self.last_hung = False
+        self.reached = False  # served at least once
 
     def troubled(self) -> bool:
         """Requests have failed for a while, and none was served since."""
@@ -144,6 +145,7 @@
             # A watch that was open when an outage began may still end in time, so it proves nothing.
             self.backoff = ZERO
             self.failing_since = None
+            self.reached = True
         return reply
 
     def _failed(self, hung: bool) -> None:
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -261,3 +261,25 @@
         assert await world.submit(spec) == 201
 
     run(main())
+
+
+def test_controllers_started_during_an_outage_become_ready_after_it():
+    """Readiness once hung on the first look for the catalog: all stayed unready when only the cloud had answered it."""
+
+    async def main():
+        world = World(seed=9)
+        await world.until(lambda: world.leader() is not None)
+        world.state.out = True
+        await world.wait(1)
+        await all_killed(world)
+        await world.wait(3)
+        for member in world.members:
+            reply = await world._ask("GET", "/ready", None, member)
+            assert reply is not None and reply.status == 503
+        world.state.end_outage()
+        await world.wait(5)
+        for member in world.members:
+            reply = await world._ask("GET", "/ready", None, member)
+            assert reply is not None and reply.status == 200
+
+    run(main())
