Booting machines are handed to the next leader; a late catalog refuses nobody

Cause 1: the list lags by 8 to 24 s, so a new leader rented again what its predecessor had just rented. Cause 2: found by the stand-ins: machine types learned while a submission waited turned its 503 into 422. Tests for both.

--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -8,13 +8,14 @@
 from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.cloud import Cloud, CloudError, NoCapacityError
 from dappledrum.fleet.messages import ListedMachine, MachineType, RentalRequest
-from dappledrum.scheduling.lanes import Kind, billed_interval
+from dappledrum.scheduling.lanes import Kind
 from dappledrum.settings import Params
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.roster import Machine, Roster
 
 log = logging.getLogger(__name__)
 
+BOOTS_IN_INTERVAL = 2
 RENT_MOST = 50
 RETURN_MOST = 100
 ASIDE = timedelta(seconds=8)
@@ -65,11 +66,9 @@
         return until is None or self.clock.now() >= until[0]
 
     def interval(self, kind: Kind) -> timedelta:
-        """Length of a billed interval."""
+        """Length of a billed interval of a machine: not so short that it goes back just to be booted again."""
         model = self.types.get(kind.type)
-        if model is None:
-            return self.base_interval
-        return billed_interval(self.base_interval, model.price, model.hourly(kind.spot))
+        return self.base_interval if model is None else max(self.base_interval, model.boot * BOOTS_IN_INTERVAL)
 
     def ready_at(self, machine: Machine) -> timedelta:
         """When a booting machine is expected to be up."""
--- /dev/null
+++ b/dappledrum/fleet/memory.py
@@ -0,0 +1,82 @@
+"""Hands the machines that are still booting from one leader to the next.
+
+The cloud's list lags behind, so a new leader would not see what its predecessor has just rented, and rent it again.
+The record is only a hint: without it, machines turn up in the list or through their reports.
+"""
+
+import asyncio
+import logging
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.fleet.messages import BootingRecord, FleetRecord
+from dappledrum.leadership.elector import Term
+from dappledrum.scheduling.lanes import Kind
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import State, StateError, raw
+from dappledrum.state.messages import Put
+from dappledrum.workers.roster import Roster
+
+log = logging.getLogger(__name__)
+
+FLEET = "fleet"
+KEPT = timedelta(minutes=10)
+MOST = 80  # rows, so that the value stays small
+
+
+class FleetMemory:
+    """Writes the record when it has changed, for one term."""
+
+    def __init__(self, state: State, term: Term, roster: Roster, clock: Clock) -> None:
+        self.state = state
+        self.term = term
+        self.roster = roster
+        self.clock = clock
+        self.stored: FleetRecord | None = None
+
+    def _record(self) -> FleetRecord:
+        today = self.clock.today()
+        now = self.clock.now()
+        rows = []
+        for machine in self.roster:
+            age = now - machine.rented_at
+            if machine.up or machine.returning or machine.kind is None or age > KEPT:
+                continue
+            # Whole seconds, and only changes of the machines matter: clocks wander by less.
+            at = int((today - age).timestamp())
+            known = (
+                next((r.at_ms for r in self.stored.booting if r.name == machine.name), None) if self.stored else None
+            )
+            kind = machine.kind
+            rows.append(BootingRecord(machine.name, kind.type, kind.zone, kind.spot, known or at * 1000))
+        return FleetRecord(rows[-MOST:])
+
+    async def run(self) -> None:
+        """Keep the record current; it is not worth a retry of its own."""
+        while True:
+            await asyncio.sleep(0.5)
+            record = self._record()
+            if record == self.stored:
+                continue
+            try:
+                await self.state.commit([self.term.guard()], [Put(FLEET, raw(record))], Rank.RECORD)
+                self.stored = record
+            except StateError as error:
+                log.info("fleet record not written: %s", error)
+
+    async def recall(self) -> None:
+        """Take over what a predecessor has rented."""
+        try:
+            entry = await self.state.get(FLEET, Rank.RECORD)
+            rows = msgspec.json.decode(entry.value, type=FleetRecord).booting if entry is not None else []
+        except (StateError, msgspec.DecodeError) as error:
+            log.info("fleet record not read: %s", error)
+            return
+        now = self.clock.now()
+        for row in rows:
+            age = max(self.clock.today() - datetime.fromtimestamp(row.at_ms / 1000, UTC), ZERO)
+            if age < KEPT and self.roster.get(row.name) is None:
+                machine = self.roster.ensure(row.name, Kind(row.type, row.zone, row.spot), now)
+                machine.rented_at = now - age
--- a/dappledrum/fleet/messages.py
+++ b/dappledrum/fleet/messages.py
@@ -103,3 +103,19 @@
 
     machines: list[ListedMachine]
     more: bool = False
+
+
+class BootingRecord(msgspec.Struct, array_like=True):
+    """A machine that was rented and has not reported yet."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    at_ms: int
+
+
+class FleetRecord(msgspec.Struct):
+    """Value of the key `fleet`: what a successor could not see yet, since the list lags behind."""
+
+    booting: list[BootingRecord]
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -104,13 +104,14 @@
             return busy()
 
     async def _submit(self, spec: Spec) -> Response:
-        why = unservable(spec, self.params, self.types) if self.types is not None else "unknown types"
+        types = self.types  # they may be learned while we wait below: judge by what was known at the beginning
+        why = unservable(spec, self.params, types) if types is not None else "machine types not known yet"
         if why is not None:
             # Accepted once means accepted for ever, so look before refusing.
             found = await self.find(spec.id, Rank.INTAKE)
             if found is not None:
                 return self._present(spec.id, found, HTTPStatus.OK)
-            return busy(2) if self.types is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
+            return busy(2) if types is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
         if self.state.busy_for(Rank.INTAKE, writes=1) > timedelta(seconds=0.3):
             return busy()
         page = PageRecord()
--- a/dappledrum/jobs/test_intake.py
+++ b/dappledrum/jobs/test_intake.py
@@ -1,5 +1,6 @@
 """What users may send, and what they are told."""
 
+import asyncio
 import json
 from datetime import UTC, datetime
 
@@ -141,3 +142,18 @@
     for index in range(3):
         assert facts(first.page(index)) == facts(second.page(index))
     assert (second.done, second.on_machines(), second.waiting()) == (first.done, first.on_machines(), first.waiting())
+
+
+def test_types_learned_while_a_submission_waits_do_not_turn_it_into_a_refusal():
+    """The catalog came in between the verdict and the answer, and a good job got 422 for ever."""
+
+    async def main():
+        world = World(seed=1)
+        await world.until(lambda: world.leader() is not None)
+        intake = world.nodes["drummer-0"].intake
+        types, intake.types = intake.types, None
+        asyncio.get_running_loop().call_later(0.002, setattr, intake, "types", types)
+        reply = await intake.submit(body())
+        assert intake.types is types and reply.status == 503
+
+    run(main())
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -12,6 +12,7 @@
 from dappledrum.dispatch import Dispatcher, Tuning
 from dappledrum.fleet.cloud import Cloud
 from dappledrum.fleet.keeper import Keeper
+from dappledrum.fleet.memory import FleetMemory
 from dappledrum.fleet.messages import MachineType
 from dappledrum.jobs.messages import JobRecord, PageRecord
 from dappledrum.jobs.record import Job
@@ -86,6 +87,7 @@
             leading,
             self.wake,
         )
+        self.memory = FleetMemory(state, term, self.roster, clock)
         self.set_types(types)
         self.dispatcher = Dispatcher(
             self.jobs, self.roster, self.estimates, self.keeper, params, clock, tuning, self.recorder.mark
@@ -112,6 +114,7 @@
             self._guard(self.recorder.run),
             self._guard(self._plan),
             self._guard(self._sweep),
+            self._guard(self._remember),
             self._guard(self.keeper.rent_loop),
             self._guard(self.keeper.return_loop),
             self._guard(self.keeper.list_loop),
@@ -157,6 +160,8 @@
                 job.add_page(int(index), msgspec.json.decode(entry.value, type=PageRecord), entry.version)
         for job in self.jobs.values():
             self.bookkeeper.restore(job)
+        await self.memory.recall()
+        for job in self.jobs.values():
             self.recorder.mark(job.page(0))
         self.revision = revision
         self.loaded.set()
@@ -230,6 +235,10 @@
                 log.debug("plan in %.0f ms: %s", took.total_seconds() * 1e3, plan)
             await asyncio.sleep(pause.total_seconds())
 
+    async def _remember(self) -> None:
+        await self.loaded.wait()
+        await self.memory.run()
+
     async def _sweep(self) -> None:
         await self.loaded.wait()
         while True:
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -155,9 +155,3 @@
         after = self.intervals(max(self.committed, finish))
         before = 0 if fresh else self.intervals(self.committed)
         return (after - before) * self.interval.total_seconds() / 3600 * self.hourly
-
-
-def billed_interval(base: timedelta, ordinary: float, hourly: float, most: float = 4.0) -> timedelta:
-    """The interval L of a machine. Billing is by the second, so L is ours to choose (the paper has one for each type):
-    an interval of a cheap machine is longer, so that it costs as much as one of an ordinary machine of its type."""
-    return base * min(max(ordinary / max(hourly, 1e-9), 1.0), most)
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -70,7 +70,8 @@
         self.state = StateService()
         timing = Timing(1.0, self.lease_s)
         self.timing = timing
-        self.cloud = CloudService(TYPES, self.network, self.rules, timing, list(self.members), self.rng, 4.0)
+        types = [dict(kind) for kind in TYPES]
+        self.cloud = CloudService(types, self.network, self.rules, timing, list(self.members), self.rng, 4.0)
         self.network.services["state"] = self.state
         self.network.services["cloud"] = self.cloud
         self.params = Params(
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -283,3 +283,23 @@
             assert reply is not None and reply.status == 200
 
     run(main())
+
+
+def test_a_new_leader_does_not_rent_again_what_is_booting():
+    """The list lags, so a new leader once rented its predecessor's booting machines a second time."""
+
+    async def main():
+        world = World(seed=10)
+        for kind in world.cloud.types:
+            kind["readyS"] = 30.0
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=6, vcpus=4.0, builds=["small"], dueS=60.0))
+        await world.until(lambda: len(world.cloud.machines) >= 4)
+        await world.wait(3)
+        rented = world.cloud.next
+        await world.restart(world.leader())
+        await world.until(lambda: world.rules.starts > 0)
+        assert world.cloud.next <= rented + 1
+        await world.finish(["j-000001"])
+
+    run(main())
