--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -257,6 +257,7 @@
                     break
                 placement = page.place(task, name, machine.session, machine.kind.zone, today)
                 machine.placements[(job.id, task)] = placement
+                machine.given.set()
                 count -= 1
             self.mark(page)
             if count <= 0:
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -85,7 +85,10 @@
         """The machine should have been up long ago, and may never come up."""
         boot = self._boot(machine)
         limit = max(boot * OVERDUE_FACTOR, boot + OVERDUE_FLOOR)
-        return not machine.up and self.clock.now() - machine.rented_at > limit
+        now = self.clock.now()
+        # A new leader hears of machines that have long been up; give them the time to report to it.
+        introduced = now - machine.seen_at > self.params.workers.lease + OVERDUE_FLOOR
+        return not machine.up and introduced and now - machine.rented_at > limit
 
     def order(self, rentals: dict[Kind, int], needed: set[str]) -> None:
         """Replace what is wanted by a newer plan."""
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -25,7 +25,7 @@
 from dappledrum.state.messages import Event
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.messages import Commands, Report
-from dappledrum.workers.roster import Roster
+from dappledrum.workers.roster import Machine, Roster
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +36,8 @@
 LOAD = 6  # a plan is followed by a pause of at least this many times its own duration
 WATCH_GAP = timedelta(milliseconds=150)
 HOLD = timedelta(milliseconds=400)  # the most that an answer to a worker waits for a record that it could carry
+PLAN_TIME = timedelta(milliseconds=250)
+IDLE_MOST = timedelta(seconds=1.8)  # well within the 4 s after which a worker turns to another controller
 KEPT_OVER = 10_000
 
 
@@ -268,8 +270,9 @@
                 return None
             known.last_answer = self.clock.now()
             return Commands(self.term.epoch, [])
-        await self._wait_for_records(machine.name)
-        if not holding():
+        if self.leading():
+            await self._wait_for_work(machine)
+        if not holding() or machine.name in self.roster.gone:
             return None
         now = self.clock.now()
         machine.last_answer = max(machine.last_answer, now)
@@ -277,19 +280,34 @@
         commands = self.bookkeeper.commands(machine, report, fresh and self.leading())
         return Commands(self.term.epoch, commands)
 
-    async def _wait_for_records(self, name: str) -> None:
-        """An end that makes room is often followed by a start: give its record the time to be stored."""
-        machine = self.roster.get(name)
+    async def _wait_for_work(self, machine: Machine) -> None:
+        """Starts go only into answers, and the next report may be seconds away, so an answer waits a little: for the
+        plan that the report itself has woken, or, when the machine is idle, for any plan that gives it something;
+        then for the record of what it was given."""
+        if not self.bookkeeper.pending(machine):
+            patience = ZERO
+            if self.woken.is_set():
+                patience = PLAN_TIME
+            if not machine.placements:
+                patience = min(self.params.workers.report * 0.6, IDLE_MOST)
+            machine.given.clear()
+            if patience <= ZERO or not await self._happens(machine.given.wait(), patience):
+                return
         until = self.clock.now() + HOLD
-        # The plan that this report has woken runs first.
-        if self.woken.is_set():
-            await asyncio.sleep(0.02)
-        while machine is not None and self.leading():
+        while self.leading() and self.bookkeeper.pending(machine):
             left = until - self.clock.now()
-            if left <= ZERO or not self.bookkeeper.pending(machine):
-                return
-            try:
-                async with asyncio.timeout(left.total_seconds()), self.recorder.saved:
-                    await self.recorder.saved.wait()
-            except TimeoutError:
+            if left <= ZERO or not await self._happens(self._saved(), left):
                 return
+
+    async def _saved(self) -> bool:
+        async with self.recorder.saved:
+            return await self.recorder.saved.wait()
+
+    @staticmethod
+    async def _happens(wait: Awaitable[bool], patience: timedelta) -> bool:
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                await wait
+        except TimeoutError:
+            return False
+        return True
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -1,5 +1,6 @@
 """Machines as the leader knows them."""
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Iterator
 from datetime import timedelta
@@ -35,8 +36,8 @@
         self.failed = False
         self.errors = 0
         self.blocked_until = timedelta(0)
-        self.speed = 1.0
         self.listed_at: timedelta | None = None
+        self.given = asyncio.Event()  # something was placed there
 
     @property
     def up(self) -> bool:
@@ -45,7 +46,9 @@
 
     def expired(self, now: timedelta, lease: timedelta) -> bool:
         """The worker has certainly given up its session: no answer can have reached it for longer than a lease."""
-        return now > self.last_answer + longer(lease) + GONE_MARGIN
+        # A machine that has just come up may not have been answered at all: what counts then is that it was heard.
+        heard = self.last_answer if self.last_report is None else max(self.last_answer, self.last_report)
+        return now > heard + longer(lease) + GONE_MARGIN
 
     def silent(self, now: timedelta, report: timedelta) -> bool:
         """Reports are missing, so nothing new should be put there."""
--- a/dappledrum/workers/test_bookkeeping.py
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -248,3 +248,20 @@
         assert shunned({"m": 1}, desk.roster) == ["m"]
 
     case(check)
+
+
+def test_a_machine_that_boots_for_longer_than_a_lease_is_not_silent():
+    """Its first tasks were given up, or the machine was returned, in the moment between its report and the answer."""
+
+    async def main():
+        desk = Desk()
+        machine = desk.roster.ensure("slow", None, desk.books.clock.now())
+        await asyncio.sleep(60)
+        report = Report("slow", "10.1.0.1:1", "small", "a", True, 1, 1, 0)
+        assert desk.books.take(report) is machine
+        placement = desk.page.place(1, "slow", 1, "a", datetime.now(UTC))
+        machine.placements[(desk.job.id, 1)] = placement
+        desk.books.sweep()
+        assert 1 in desk.page.places and not machine.expired(desk.books.clock.now(), desk.books.limits.lease)
+
+    run(main())
