--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -19,7 +19,7 @@
 RENT_MOST = 50
 RETURN_MOST = 100
 ASIDE = timedelta(seconds=8)
-ASIDE_MOST = timedelta(seconds=60)
+ASIDE_MOST = timedelta(seconds=30)
 BOOT_FACTOR = 1.25  # boots take 0.6 to 1.5 times the nominal time
 OVERDUE_FACTOR = 3.0
 OVERDUE_FLOOR = timedelta(seconds=20)
@@ -167,6 +167,8 @@
                 for name in names:
                     machine = self.roster.get(name)
                     if machine is not None:
+                        if machine.kind is not None:
+                            self.aside.pop(machine.kind, None)  # what has just been given back can be had again
                         self.bookkeeper.returned(machine)
 
     def _why_return(self, machine: Machine) -> str | None:
--- /dev/null
+++ b/dappledrum/fleet/test_keeper.py
@@ -0,0 +1,108 @@
+"""What the keeper asks for, sets aside and gives back."""
+
+import asyncio
+from datetime import timedelta
+
+from dappledrum.clock import Clock, seconds
+from dappledrum.fleet.cloud import CloudError, NoCapacityError
+from dappledrum.fleet.keeper import Keeper
+from dappledrum.fleet.messages import MachineType
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.scheduling.lanes import Kind
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World
+from dappledrum.workers.bookkeeping import Bookkeeper
+from dappledrum.workers.roster import Roster
+
+SPOT = Kind("small", "a", True)
+
+
+class Till:
+    """A cloud that answers rentals from a list and notes what it is asked."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.returned = []
+
+    async def rent(self, request):
+        self.requests.append(request.request)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def give_back(self, names):
+        self.returned += names
+
+    async def machines(self):
+        return []
+
+
+def keeping(cloud):
+    params = World(seed=1, members=()).params
+    roster = Roster()
+    books = Bookkeeper({}, roster, Estimates(), params.workers, Clock(), 3, lambda _: None, lambda _: None)
+    keeper = Keeper(cloud, roster, books, params, Clock(), 3, timedelta(seconds=60), lambda: True, lambda _: None)
+    keeper.types = {"small": MachineType("small", 4, 0, 16, 20, 1, 0.3, 10, ["a"], 0.1)}
+    return keeper, roster
+
+
+async def while_running(keeper, *loops, for_s):
+    tasks = [asyncio.create_task(loop()) for loop in loops]
+    await asyncio.sleep(for_s)
+    for task in tasks:
+        task.cancel()
+
+
+def test_names_of_requests_are_never_used_twice_and_refusals_back_off():
+    async def main():
+        cloud = Till(["h1"], NoCapacityError("none"), CloudError("no answer"), ["h2"])
+        keeper, roster = keeping(cloud)
+        spans = []
+        for _ in range(4):
+            keeper.order({SPOT: 1}, set())
+            await while_running(keeper, keeper.rent_loop, for_s=0.1)
+            spans.append(keeper.offered(SPOT))
+            while not keeper.offered(SPOT):
+                await asyncio.sleep(1)
+        assert cloud.requests == ["r-3-1", "r-3-2", "r-3-3", "r-3-4"]
+        assert spans == [True, False, False, True]
+        assert set(roster.machines) == {"h1", "h2"}
+
+    run(main())
+
+
+def test_idle_machines_go_back_at_the_end_of_their_interval_and_can_be_had_again():
+    async def main():
+        cloud = Till(["h1", "h2"], NoCapacityError("none"))
+        keeper, roster = keeping(cloud)
+        for _ in range(2):
+            keeper.order({SPOT: 2}, {"h2"})
+            await while_running(keeper, keeper.rent_loop, for_s=0.1)
+        for machine in roster:
+            machine.up_at = machine.last_report = keeper.clock.now()
+        assert not keeper.offered(SPOT)
+        await while_running(keeper, keeper.return_loop, for_s=57)
+        assert cloud.returned == []
+        for machine in roster:
+            machine.last_report = machine.last_answer = keeper.clock.now()
+        keeper.aside[SPOT] = (keeper.clock.now() + seconds(60), seconds(60))
+        await while_running(keeper, keeper.return_loop, for_s=3)
+        assert cloud.returned == ["h1"]
+        assert keeper.offered(SPOT)
+
+    run(main())
+
+
+def test_boots_that_never_end_are_given_back():
+    async def main():
+        cloud = Till(["h1"])
+        keeper, _ = keeping(cloud)
+        keeper.order({SPOT: 1}, {"h1"})
+        await while_running(keeper, keeper.rent_loop, keeper.return_loop, for_s=20)
+        assert cloud.returned == []
+        await while_running(keeper, keeper.return_loop, for_s=15)
+        assert cloud.returned == ["h1"]
+
+    run(main())
