--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -15,6 +15,7 @@
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.scheduling.lanes import Kind, Lanes, Size
 from dappledrum.scheduling.plan import Bag, Offer, Plan, Planner, TeamRoom
+from dappledrum.scheduling.preempt import Host, Victim, choose
 from dappledrum.settings import Params
 from dappledrum.workers.roster import Machine, Roster
 
@@ -24,6 +25,7 @@
 MOST_READY = 400  # tasks of one job that a plan looks at
 MOST_RENTED = 20  # machines of one kind that a plan asks for
 NO_LIMIT = 1e18
+MOST_STOPPED = 16  # tasks of one job that one plan makes room for
 OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
 
 
@@ -67,6 +69,9 @@
         plan = planner.run(bags)
         for bag, name, count in plan.starts:
             self._place(self.jobs[bag], name, count)
+        for bag in bags:
+            if bag.id in plan.late and not bag.held and not bag.thrifty:
+                self._preempt(self.jobs[bag.id], bag, plan.late[bag.id], now)
         # Before the first list nobody knows what a predecessor has rented.
         self.keeper.order(plan.rentals if self.keeper.listed else {}, plan.needed)
         return plan
@@ -245,6 +250,45 @@
 
     # what the plan changes
 
+    def _preempt(self, job: Job, bag: Bag, late: int, now: timedelta) -> None:
+        """Make room for what would be late: a team's guarantee against borrowers, high urgency against lower."""
+        guaranteed = self.guaranteed
+        if job.id not in guaranteed and RANKS[job.spec.priority] > RANKS[Priority.HIGH]:
+            return
+        # Stopping takes a report to be told, and one to be seen.
+        if now + self.params.workers.report * 2 + bag.run > bag.due and job.id not in guaranteed:
+            return
+        hosts = []
+        for machine in self.roster:
+            model = self.keeper.types.get(machine.kind.type) if machine.kind is not None else None
+            if model is None or machine.kind is None or not machine.up or not bag.allowed(machine.kind):
+                continue
+            if machine.returning or machine.draining or machine.recall_at is not None:
+                continue
+            free = Size(model.cpus, model.gpus, model.memory_gb)
+            victims = []
+            for placement in machine.placements.values():
+                other = placement.page.job
+                size = Size(other.spec.cpus, other.spec.gpus, other.spec.memory_gb)
+                free = free.minus(size)
+                if not placement.lost and self._yields(other, job, guaranteed):
+                    ran = ZERO if placement.running_at is None else now - placement.running_at
+                    victims.append(Victim(placement, size, ran))
+            hosts.append(Host(machine.name, free, victims))
+        for victim in choose(bag.size, min(late, MOST_STOPPED), hosts):
+            assert isinstance(victim, Placement)
+            log.info("stopping %s/%d for %s", victim.page.job.id, victim.task, job.id)
+            victim.lost = True
+
+    @staticmethod
+    def _yields(other: Job, job: Job, guaranteed: set[str]) -> bool:
+        """Whether the protocol lets a task of the one job be stopped for the other."""
+        if other.id in guaranteed and job.id not in guaranteed:
+            return False
+        if RANKS[other.spec.priority] > RANKS[job.spec.priority]:
+            return True
+        return job.id in guaranteed and other.id not in guaranteed and other.spec.team != job.spec.team
+
     def _place(self, job: Job, name: str, count: int) -> None:
         machine = self.roster.get(name)
         if machine is None or machine.kind is None:
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -32,6 +32,10 @@
             self.memory_gb - other.memory_gb * count,
         )
 
+    def plus(self, other: "Size") -> "Size":
+        """Both together."""
+        return self.minus(other, -1)
+
 
 class Kind(NamedTuple):
     """A candidate to rent: machine type, zone, and spot or ordinary."""
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -58,7 +58,7 @@
     starts: list[tuple[str, str, int]] = field(default_factory=list)  # bag, machine, number of tasks
     rentals: dict[Kind, int] = field(default_factory=dict)
     needed: set[str] = field(default_factory=set)  # machines with work to come
-    late: dict[str, timedelta] = field(default_factory=dict)  # bags that are planned to overrun
+    late: dict[str, int] = field(default_factory=dict)  # tasks of each bag that are planned too late, or not at all
 
 
 class TeamRoom:
@@ -205,10 +205,12 @@
             if best is None or score < best[0]:
                 best = (score, trial)
         if best is None:
+            self.plan.late[bag.id] = count
             return
         trial = best[1]
-        if trial.overrun > ZERO:
-            self.plan.late[bag.id] = trial.overrun
+        late = sum(number for _, gap, number, _ in trial.steps if gap.finish > bag.due) + tried - trial.placed
+        if late:
+            self.plan.late[bag.id] = late
         for lanes in trial.new:
             lanes.machine = f"+{self.fresh}"
             self.fresh += 1
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dappledrum.settings import Team
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 
@@ -329,3 +330,23 @@
 
 def loop_time():
     return asyncio.get_running_loop().time()
+
+
+def test_a_team_gets_its_guarantee_from_borrowers_and_urgent_work_goes_first():
+    async def main():
+        world = World(seed=12, teams=(Team("blue"), Team("red", cpus=8.0)))
+        world.cloud.most = 3
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=60, builds=["small"], runS=60.0, expectedS=60.0, urgency="best_effort"))
+        await world.until(lambda: len(world.rules.running) >= 6)
+
+        def running(name):
+            return sum(job_id == name for job_id, _ in world.rules.running)
+
+        await world.submit(job(2, crew="red", builds=["small"], beats=2, urgency="best_effort", dueS=20.0))
+        await world.until(lambda: running("j-000002") == 2, most=30)
+        await world.submit(job(3, builds=["small"], beats=1, urgency="prod", dueS=20.0))
+        await world.until(lambda: running("j-000003") == 1, most=30)
+        assert not world.rules.broken
+
+    run(main())
