--- a/dappledrum/clock.py
+++ b/dappledrum/clock.py
@@ -1,7 +1,8 @@
 """The two clocks of a controller, as the standard library's time types.
 
-The steady clock counts from an arbitrary start and is what leases and waits are measured with; the time of day
-is only good for what must outlive a process (acceptance times, and how long a task has been running).
+The steady clock counts from an arbitrary start and is what leases and waits are measured with; the
+time of day is only good for what must outlive a process (acceptance times, and how long a task has
+been running).
 """
 
 import asyncio
@@ -9,7 +10,8 @@
 
 ZERO = timedelta(0)
 
-#: The steady clocks of two machines drift apart by at most 0.05 %; twice that is allowed for everywhere.
+#: The steady clocks of two machines drift apart by at most 0.05 %; twice that is allowed for
+#: everywhere.
 DRIFT = 0.001
 
 
--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -63,9 +63,13 @@
     def run(self) -> Plan:
         """One wake of the rule."""
         now = self.clock.now()
-        lanes = [view for machine in self.roster if (view := self._lanes(machine, now)) is not None]
+        lanes = [
+            view for machine in self.roster if (view := self._lanes(machine, now)) is not None
+        ]
         bags = [bag for job in self._in_order() if (bag := self._bag(job, now)) is not None]
-        planner = Planner(now, lanes, self._offers(), self.tuning.ready_share, TeamRoom(self._team_room()))
+        planner = Planner(
+            now, lanes, self._offers(), self.tuning.ready_share, TeamRoom(self._team_room())
+        )
         plan = planner.run(bags)
         for bag, name, count in plan.starts:
             self._place(self.jobs[bag], name, count)
@@ -90,23 +94,43 @@
     def _lanes(self, machine: Machine, now: timedelta) -> Lanes | None:
         kind = machine.kind
         model = self.keeper.types.get(kind.type) if kind is not None else None
-        if kind is None or model is None or machine.returning or machine.draining or machine.failed:
+        if (
+            kind is None
+            or model is None
+            or machine.returning
+            or machine.draining
+            or machine.failed
+        ):
             return None
-        if machine.up and (machine.silent(now, self.params.workers.report) or now < machine.blocked_until):
+        if machine.up and (
+            machine.silent(now, self.params.workers.report) or now < machine.blocked_until
+        ):
             return None
         if not machine.up and (self.keeper.overdue(machine) or machine.placements):
             return None
         ready_at = now if machine.up else self.keeper.ready_at(machine)
         until = None if machine.recall_at is None else machine.recall_at - timedelta(seconds=1)
         lanes = Lanes(
-            machine.name, kind, Size(model.cpus, model.gpus, model.memory_gb), ready_at, machine.rented_at,
-            model.hourly(kind.spot), model.fetch_gb_per_s, self.keeper.interval(kind), until, booting=not machine.up,
-        )  # fmt: skip
+            machine.name,
+            kind,
+            Size(model.cpus, model.gpus, model.memory_gb),
+            ready_at,
+            machine.rented_at,
+            model.hourly(kind.spot),
+            model.fetch_gb_per_s,
+            self.keeper.interval(kind),
+            until,
+            booting=not machine.up,
+        )
         for image in machine.images:
             lanes.images[image] = ready_at
         for placement in machine.placements.values():
             spec = placement.page.job.spec
-            lanes.reserve(now, self._finish(placement, lanes, now), Size(spec.cpus, spec.gpus, spec.memory_gb))
+            lanes.reserve(
+                now,
+                self._finish(placement, lanes, now),
+                Size(spec.cpus, spec.gpus, spec.memory_gb),
+            )
             lanes.expect(spec.image, spec.image_gb, now)
         return lanes
 
@@ -133,10 +157,15 @@
         own = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
         limits = stage_deadlines(self.params.objectives, spec.job_class, own, run)
         if not limits:
-            limits = [run + timedelta(seconds=30) if spec.form is Form.SERVICE else run * 4 + self.tuning.interval]
+            limits = [
+                run + timedelta(seconds=30)
+                if spec.form is Form.SERVICE
+                else run * 4 + self.tuning.interval
+            ]
         age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
         limit = next_deadline(limits, age + run * OPTIMISM)
-        # Too late for everything: what can still be in time goes first, and nothing dear is rented for it.
+        # Too late for everything: what can still be in time goes first, and nothing dear is rented
+        # for it.
         missed = limit is None
         due = now + (limits[-1] if limit is None else limit) - age
         zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
@@ -160,11 +189,17 @@
         )
 
     def _rank(self, job: Job, missed: bool, latest_start: timedelta) -> tuple[float, ...]:
-        """What comes before the paper's order: guarantees, then what can still be in time, then high urgency, which
-        could preempt the rest anyway, then the least slack."""
+        """What comes before the paper's order: guarantees, then what can still be in time, then
+        high urgency, which could preempt the rest anyway, then the least slack."""
         urgency = RANKS[job.spec.priority]
         guaranteed = job.id in self.guaranteed
-        return not guaranteed, missed, min(urgency, RANKS[Priority.NORMAL]), latest_start.total_seconds(), urgency
+        return (
+            not guaranteed,
+            missed,
+            min(urgency, RANKS[Priority.NORMAL]),
+            latest_start.total_seconds(),
+            urgency,
+        )
 
     def _allowed(self, job: Job, zones: set[str]) -> Callable[[Kind], bool]:
         spec = job.spec
@@ -232,7 +267,8 @@
 
     @property
     def guaranteed(self) -> set[str]:
-        """Jobs that, with the earlier unfinished jobs of their team, fit into the team's guarantee."""
+        """Jobs that, with the earlier unfinished jobs of their team, fit into the team's
+        guarantee."""
         result: set[str] = set()
         for team in self.params.teams:
             if team.cpus <= 0 and team.gpus <= 0:
@@ -251,7 +287,8 @@
     # what the plan changes
 
     def _preempt(self, job: Job, bag: Bag, late: int, now: timedelta) -> None:
-        """Make room for what would be late: a team's guarantee against borrowers, high urgency against lower."""
+        """Make room for what would be late: a team's guarantee against borrowers, high urgency
+        against lower."""
         guaranteed = self.guaranteed
         if job.id not in guaranteed and RANKS[job.spec.priority] > RANKS[Priority.HIGH]:
             return
@@ -261,7 +298,12 @@
         hosts = []
         for machine in self.roster:
             model = self.keeper.types.get(machine.kind.type) if machine.kind is not None else None
-            if model is None or machine.kind is None or not machine.up or not bag.allowed(machine.kind):
+            if (
+                model is None
+                or machine.kind is None
+                or not machine.up
+                or not bag.allowed(machine.kind)
+            ):
                 continue
             if machine.returning or machine.draining or machine.recall_at is not None:
                 continue
@@ -287,7 +329,11 @@
             return False
         if RANKS[other.spec.priority] > RANKS[job.spec.priority]:
             return True
-        return job.id in guaranteed and other.id not in guaranteed and other.spec.team != job.spec.team
+        return (
+            job.id in guaranteed
+            and other.id not in guaranteed
+            and other.spec.team != job.spec.team
+        )
 
     def _place(self, job: Job, name: str, count: int) -> None:
         machine = self.roster.get(name)
--- a/dappledrum/fleet/cloud.py
+++ b/dappledrum/fleet/cloud.py
@@ -85,7 +85,9 @@
         after = ""
         while True:
             since = f"from={after}&" if after else ""
-            page = self._decode(await self._call("GET", f"/rentals?{since}page=500", None), MachineList)
+            page = self._decode(
+                await self._call("GET", f"/rentals?{since}page=500", None), MachineList
+            )
             result += page.machines
             if not page.more or not page.machines:
                 return result
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -52,7 +52,9 @@
         self.types: dict[str, MachineType] = {}
         self.wanted: dict[Kind, int] = {}  # from the newest plan
         self.needed: set[str] = set()  # machines that the newest plan counts on
-        self.aside: dict[Kind, tuple[timedelta, timedelta]] = {}  # until when, and for how long it was
+        self.aside: dict[
+            Kind, tuple[timedelta, timedelta]
+        ] = {}  # until when, and for how long it was
         self.counter = 0
         self.listed = False
         self.planned = False
@@ -66,9 +68,14 @@
         return until is None or self.clock.now() >= until[0]
 
     def interval(self, kind: Kind) -> timedelta:
-        """Length of a billed interval of a machine: not so short that it goes back just to be booted again."""
+        """Length of a billed interval of a machine: not so short that it goes back just to be
+        booted again."""
         model = self.types.get(kind.type)
-        return self.base_interval if model is None else max(self.base_interval, model.boot * BOOTS_IN_INTERVAL)
+        return (
+            self.base_interval
+            if model is None
+            else max(self.base_interval, model.boot * BOOTS_IN_INTERVAL)
+        )
 
     def ready_at(self, machine: Machine) -> timedelta:
         """When a booting machine is expected to be up."""
@@ -86,7 +93,8 @@
         boot = self._boot(machine)
         limit = max(boot * OVERDUE_FACTOR, boot + OVERDUE_FLOOR)
         now = self.clock.now()
-        # A new leader hears of machines that have long been up; give them the time to report to it.
+        # A new leader hears of machines that have long been up; give them the time to report to
+        # it.
         introduced = now - machine.seen_at > self.params.workers.lease + OVERDUE_FLOOR
         return not machine.up and introduced and now - machine.rented_at > limit
 
@@ -113,7 +121,9 @@
 
     async def _rent(self, kind: Kind, count: int) -> None:
         self.counter += 1
-        request = RentalRequest(f"r-{self.epoch}-{self.counter}", kind.type, kind.zone, kind.spot, count)
+        request = RentalRequest(
+            f"r-{self.epoch}-{self.counter}", kind.type, kind.zone, kind.spot, count
+        )
         sent = self.clock.now()
         try:
             names = await self.cloud.rent(request)
@@ -168,7 +178,9 @@
                     machine = self.roster.get(name)
                     if machine is not None:
                         if machine.kind is not None:
-                            self.aside.pop(machine.kind, None)  # what has just been given back can be had again
+                            self.aside.pop(
+                                machine.kind, None
+                            )  # what has just been given back can be had again
                         self.bookkeeper.returned(machine)
 
     def _why_return(self, machine: Machine) -> str | None:
@@ -180,7 +192,11 @@
         if self.overdue(machine):
             return "it does not come up"
         lease = self.params.workers.lease
-        if machine.up and machine.expired(now, lease + timedelta(seconds=20)) and self._connected(now):
+        if (
+            machine.up
+            and machine.expired(now, lease + timedelta(seconds=20))
+            and self._connected(now)
+        ):
             return "it is silent"
         if machine.draining and machine.up:
             return "it is unhealthy"
--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -1,7 +1,8 @@
 """Hands the machines that are still booting from one leader to the next.
 
-The cloud's list lags behind, so a new leader would not see what its predecessor has just rented, and rent it again.
-The record is only a hint: without it, machines turn up in the list or through their reports.
+The cloud's list lags behind, so a new leader would not see what its predecessor has just rented,
+and rent it again. The record is only a hint: without it, machines turn up in the list or through
+their reports.
 """
 
 import asyncio
@@ -47,10 +48,14 @@
             # Whole seconds, and only changes of the machines matter: clocks wander by less.
             at = int((today - age).timestamp())
             known = (
-                next((r.at_ms for r in self.stored.booting if r.name == machine.name), None) if self.stored else None
+                next((r.at_ms for r in self.stored.booting if r.name == machine.name), None)
+                if self.stored
+                else None
             )
             kind = machine.kind
-            rows.append(BootingRecord(machine.name, kind.type, kind.zone, kind.spot, known or at * 1000))
+            rows.append(
+                BootingRecord(machine.name, kind.type, kind.zone, kind.spot, known or at * 1000)
+            )
         return FleetRecord(rows[-MOST:])
 
     async def run(self) -> None:
@@ -61,7 +66,9 @@
             if record == self.stored:
                 continue
             try:
-                await self.state.commit([self.term.guard()], [Put(FLEET, raw(record))], Rank.RECORD)
+                await self.state.commit(
+                    [self.term.guard()], [Put(FLEET, raw(record))], Rank.RECORD
+                )
                 self.stored = record
             except StateError as error:
                 log.info("fleet record not written: %s", error)
@@ -70,7 +77,11 @@
         """Take over what a predecessor has rented."""
         try:
             entry = await self.state.get(FLEET, Rank.RECORD)
-            rows = msgspec.json.decode(entry.value, type=FleetRecord).booting if entry is not None else []
+            rows = (
+                msgspec.json.decode(entry.value, type=FleetRecord).booting
+                if entry is not None
+                else []
+            )
         except (StateError, msgspec.DecodeError) as error:
             log.info("fleet record not read: %s", error)
             return
--- a/dappledrum/fleet/messages.py
+++ b/dappledrum/fleet/messages.py
@@ -59,7 +59,13 @@
 
 class RentalRequest(
     msgspec.Struct,
-    rename={"request": "hire", "type": "build", "zone": "hall", "spot": "loaners", "count": "number"},
+    rename={
+        "request": "hire",
+        "type": "build",
+        "zone": "hall",
+        "spot": "loaners",
+        "count": "number",
+    },
 ):
     """POST /rentals."""
 
--- a/dappledrum/fleet/test_keeper.py
+++ b/dappledrum/fleet/test_keeper.py
@@ -42,8 +42,20 @@
 def keeping(cloud):
     params = World(seed=1, members=()).params
     roster = Roster()
-    books = Bookkeeper({}, roster, Estimates(), params.workers, Clock(), 3, lambda _: None, lambda _: None)
-    keeper = Keeper(cloud, roster, books, params, Clock(), 3, timedelta(seconds=60), lambda: True, lambda _: None)
+    books = Bookkeeper(
+        {}, roster, Estimates(), params.workers, Clock(), 3, lambda _: None, lambda _: None
+    )
+    keeper = Keeper(
+        cloud,
+        roster,
+        books,
+        params,
+        Clock(),
+        3,
+        timedelta(seconds=60),
+        lambda: True,
+        lambda _: None,
+    )
     keeper.types = {"small": MachineType("small", 4, 0, 16, 20, 1, 0.3, 10, ["a"], 0.1)}
     return keeper, roster
 
--- a/dappledrum/http/__init__.py
+++ b/dappledrum/http/__init__.py
@@ -1,1 +1,2 @@
-"""HTTP/1.1 over asyncio protocols, parsed by httptools: a server with limits, and a pooled client."""
+"""HTTP/1.1 over asyncio protocols, parsed by httptools: a server with limits, and a pooled
+client."""
--- a/dappledrum/http/client.py
+++ b/dappledrum/http/client.py
@@ -1,6 +1,7 @@
 """Pooled HTTP client for one destination.
 
-A failure is reported as one of two things: the request was never sent, or nobody knows whether it was executed.
+A failure is reported as one of two things: the request was never sent, or nobody knows whether it
+was executed.
 """
 
 import asyncio
@@ -30,7 +31,9 @@
 class Caller(Protocol):
     """What the rest of the program needs of a client; the test stand-ins offer it too."""
 
-    async def request(self, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+    async def request(
+        self, method: str, path: str, body: bytes | None, timeout: timedelta
+    ) -> Reply:
         """Send one request and wait for the answer."""
         ...
 
@@ -102,7 +105,9 @@
         self.open = 0
         self.idle: list[_Connection] = []
 
-    async def request(self, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+    async def request(
+        self, method: str, path: str, body: bytes | None, timeout: timedelta
+    ) -> Reply:
         """Send one request; a kept connection that turns out closed is replaced for reads only."""
         head = f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n"
         if body is not None:
--- a/dappledrum/http/server.py
+++ b/dappledrum/http/server.py
@@ -1,7 +1,7 @@
 """HTTP server as an asyncio protocol.
 
-Everything a stranger can get wrong is bounded here: size of head and body, time to send a request, number of
-sockets. One connection's trouble never touches another.
+Everything a stranger can get wrong is bounded here: size of head and body, time to send a request,
+number of sockets. One connection's trouble never touches another.
 """
 
 import asyncio
@@ -69,7 +69,9 @@
     async def start(self, host: str, port: int) -> int:
         """Begin to listen; returns the port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Connection(self), host, port, backlog=256, reuse_address=True)
+        self._server = await loop.create_server(
+            lambda: Connection(self), host, port, backlog=256, reuse_address=True
+        )
         self._sweeper = loop.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -169,9 +171,15 @@
         if self.task is not None:
             self._refuse(HTTPStatus.BAD_REQUEST)  # pipelining is not spoken here
             return
-        request = Request(self.parser.get_method().decode("latin-1"), self.url.decode("latin-1"), bytes(self.body))
+        request = Request(
+            self.parser.get_method().decode("latin-1"),
+            self.url.decode("latin-1"),
+            bytes(self.body),
+        )
         self.deadline = float("inf")
-        self.task = asyncio.get_running_loop().create_task(self._answer(request, self.parser.should_keep_alive()))
+        self.task = asyncio.get_running_loop().create_task(
+            self._answer(request, self.parser.should_keep_alive())
+        )
 
     async def _answer(self, request: Request, keep: bool) -> None:
         try:
--- a/dappledrum/http/test_http.py
+++ b/dappledrum/http/test_http.py
@@ -1,4 +1,5 @@
-"""Server and client over real sockets on loopback: limits, strangers' mistakes, and lost connections."""
+"""Server and client over real sockets on loopback: limits, strangers' mistakes, and lost
+connections."""
 
 import asyncio
 from datetime import timedelta
@@ -16,7 +17,9 @@
         raise ValueError("a bug")
     if request.path == "/slow":
         await asyncio.sleep(30)
-    return Response(200, request.method.encode() + b" " + request.path.encode() + b" " + request.body, 7)
+    return Response(
+        200, request.method.encode() + b" " + request.path.encode() + b" " + request.body, 7
+    )
 
 
 async def serving(check, most=50):
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -1,7 +1,8 @@
-"""What users ask for. Any controller serves it, straight from the state service.
+"""What users ask for.
 
-Nothing is answered from memory but final states: whoever has been told something by one controller must not be told
-anything older by another, so each answer rests on a read that began after its request came in.
+Any controller serves it, straight from the state service. Nothing is answered from memory but
+final states: whoever has been told something by one controller must not be told anything older by
+another, so each answer rests on a read that began after its request came in.
 """
 
 import asyncio
@@ -16,7 +17,15 @@
 from dappledrum.clock import Clock
 from dappledrum.fleet.messages import MachineType
 from dappledrum.http.server import Response
-from dappledrum.jobs.messages import Answer, EndedRecord, Form, JobRecord, Outcome, PageRecord, Spec
+from dappledrum.jobs.messages import (
+    Answer,
+    EndedRecord,
+    Form,
+    JobRecord,
+    Outcome,
+    PageRecord,
+    Spec,
+)
 from dappledrum.jobs.record import PAGE, ended_key, head_key
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
@@ -53,7 +62,10 @@
     if team is None:
         return f"unknown team {spec.team}"
     at_once = spec.tasks if spec.form is Form.SERVICE else 1
-    for amount, limit, name in ((spec.cpus, team.cpus_max, "cpus"), (spec.gpus, team.gpus_max, "gpus")):
+    for amount, limit, name in (
+        (spec.cpus, team.cpus_max, "cpus"),
+        (spec.gpus, team.gpus_max, "gpus"),
+    ):
         if limit > 0 and amount * at_once > limit + 1e-9:
             return f"needs more {name} than the team's limit"
     if not any(allowed(spec, t) for t in types):
@@ -93,7 +105,10 @@
             spec = msgspec.json.decode(body, type=Spec)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             return refusal(HTTPStatus.BAD_REQUEST, str(error))
-        if spec.types is not None and len(msgspec.json.encode(spec)) > self.params.state.value_kb * 256:
+        if (
+            spec.types is not None
+            and len(msgspec.json.encode(spec)) > self.params.state.value_kb * 256
+        ):
             return refusal(HTTPStatus.BAD_REQUEST, "list of machine types too long")
         if spec.id in self.ended:
             return self._present(spec.id, self.ended[spec.id], HTTPStatus.OK)
@@ -104,8 +119,14 @@
             return busy()
 
     async def _submit(self, spec: Spec) -> Response:
-        types = self.types  # they may be learned while we wait below: judge by what was known at the beginning
-        why = unservable(spec, self.params, types) if types is not None else "machine types not known yet"
+        types = (
+            self.types
+        )  # they may be learned while we wait below: judge by what was known at the beginning
+        why = (
+            unservable(spec, self.params, types)
+            if types is not None
+            else "machine types not known yet"
+        )
         if why is not None:
             # Accepted once means accepted for ever, so look before refusing.
             found = await self.find(spec.id, Rank.INTAKE)
@@ -122,7 +143,9 @@
         except ConflictError:
             found = await self.find(spec.id, Rank.INTAKE)
             return busy() if found is None else self._present(spec.id, found, HTTPStatus.OK)
-        log.info("accepted %s: %d tasks of %s for %s", spec.id, spec.tasks, spec.job_class, spec.team)
+        log.info(
+            "accepted %s: %d tasks of %s for %s", spec.id, spec.tasks, spec.job_class, spec.team
+        )
         return answer(HTTPStatus.CREATED, Answer(spec.id, Outcome.QUEUED))
 
     async def poll(self, job: str) -> Response:
@@ -143,7 +166,8 @@
         """One read for all polls that were waiting when it began."""
         running = self._polls.get(job)
         if running is not None:
-            # That read began before this request, so only the next one will do; those who wait share it.
+            # That read began before this request, so only the next one will do; those who wait
+            # share it.
             await asyncio.wait([running])
             again = self._polls.get(job)
             if again is not None and again is not running:
@@ -181,7 +205,11 @@
         return busy()
 
     async def find(self, job: str, rank: Rank) -> Found:
-        """Read a job. It moves from live to ended only, so the live key is read first; both absent: never accepted."""
+        """Read a job.
+
+        It moves from live to ended only, so the live key is read first; both absent: never
+        accepted.
+        """
         wait = self.state.busy_for(rank)
         if wait > READ_PATIENCE / 2:
             raise RefusedError("over the share of requests")
@@ -204,13 +232,17 @@
 
     def _present(self, job: str, found: Found, status: int, brief: bool = False) -> Response:
         if isinstance(found, EndedRecord):
-            body = Answer(job, found.state, found.tasks if found.state is Outcome.DONE else None, 0)
+            body = Answer(
+                job, found.state, found.tasks if found.state is Outcome.DONE else None, 0
+            )
         else:
             assert found is not None
             record, _ = found
             running = sum(len(row[3]) for row in record.page.places)
             state = Outcome.RUNNING if running else Outcome.QUEUED
-            body = Answer(job, Outcome.CANCELLED if record.cancelled else state, record.done, running)
+            body = Answer(
+                job, Outcome.CANCELLED if record.cancelled else state, record.done, running
+            )
         if brief:
             body = Answer(job, body.state)
         return answer(status, body)
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -113,8 +113,8 @@
 class PageRecord(msgspec.Struct, array_like=True):
     """Progress of a range of tasks: next attempt, bitmap of done tasks in hex, and placements.
 
-    A placement row is `[machine, session, zone, [[task, attempt, seconds since acceptance], ...]]`, with the task
-    counted from the start of the page.
+    A placement row is `[machine, session, zone, [[task, attempt, seconds since acceptance],
+    ...]]`, with the task counted from the start of the page.
     """
 
     attempt: int = 1
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -1,7 +1,8 @@
 """A job in the leader's memory, and its pages, the units in which progress is written.
 
-Every change of a page raises its revision. What a revision allows (sending a start, forgetting an end, calling the
-job done) must wait until a record of at least that revision is known to be stored.
+Every change of a page raises its revision. What a revision allows (sending a start, forgetting an
+end, calling the job done) must wait until a record of at least that revision is known to be
+stored.
 """
 
 from collections.abc import Iterator
@@ -34,9 +35,20 @@
     """One attempt of one task on one machine in one session."""
 
     __slots__ = (
-        "attempt", "offered_tick", "placed_at", "revision", "running_at", "seen", "session", "stopping", "task",
-        "machine", "zone", "page", "lost",
-    )  # fmt: skip
+        "attempt",
+        "offered_tick",
+        "placed_at",
+        "revision",
+        "running_at",
+        "seen",
+        "session",
+        "stopping",
+        "task",
+        "machine",
+        "zone",
+        "page",
+        "lost",
+    )
 
     def __init__(
         self,
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -1,8 +1,8 @@
 """Writes the leader's changes to the state service, many pages in one transaction.
 
-Every transaction is guarded by the leader's key and by the version of each page. After a conflict or an unknown
-outcome the pages concerned are read again before they are written again; writing them moves their version on, so a
-delayed twin of the old transaction can't apply any more.
+Every transaction is guarded by the leader's key and by the version of each page. After a conflict
+or an unknown outcome the pages concerned are read again before they are written again; writing
+them moves their version on, so a delayed twin of the old transaction can't apply any more.
 """
 
 import asyncio
@@ -81,7 +81,9 @@
             if room >= 2 and await self._certain(job.page(0)):
                 jobs.append(job)
                 room -= 2
-        urgent = sorted(self.dirty, key=lambda p: all(q.revision <= p.saved for q in p.places.values()))
+        urgent = sorted(
+            self.dirty, key=lambda p: all(q.revision <= p.saved for q in p.places.values())
+        )
         for page in urgent:
             if page.job.over or page.job in self.ending:
                 del self.dirty[page]
@@ -92,7 +94,8 @@
             await self._write(pages, jobs)
 
     def _room(self) -> int:
-        """Number of changes for the next transaction: what the rate allows now, but always a few."""
+        """Number of changes for the next transaction: what the rate allows now, but always a
+        few."""
         allowed = int(self.state.writes.level - 0.2 * self.state.writes.size)
         return max(4, min(self.limits.txn_ops, allowed))
 
@@ -149,7 +152,11 @@
         entry = await self.state.get(page.key, Rank.RECORD)
         if entry is not None:
             page.version = entry.version
-            if page.index == 0 and msgspec.json.decode(entry.value, type=JobRecord).cancelled and not job.cancelled:
+            if (
+                page.index == 0
+                and msgspec.json.decode(entry.value, type=JobRecord).cancelled
+                and not job.cancelled
+            ):
                 job.cancelled = True
                 log.info("%s was cancelled meanwhile", job.id)
         elif page.index == 0:
--- a/dappledrum/jobs/test_intake.py
+++ b/dappledrum/jobs/test_intake.py
@@ -95,7 +95,8 @@
 
 
 def test_a_very_large_job_keeps_within_the_store():
-    """The stand-in checks sizes of values and transactions; most tasks of the job are already done."""
+    """The stand-in checks sizes of values and transactions; most tasks of the job are already
+    done."""
 
     async def main():
         world = World(seed=8)
@@ -136,12 +137,19 @@
         second.add_page(index, first.page(index).to_record(), 6)
 
     def facts(page: Page):
-        rows = {t: (p.machine, p.session, p.zone, p.attempt, p.placed_at) for t, p in page.places.items()}
+        rows = {
+            t: (p.machine, p.session, p.zone, p.attempt, p.placed_at)
+            for t, p in page.places.items()
+        }
         return page.done, page.attempt, rows, list(page.free())
 
     for index in range(3):
         assert facts(first.page(index)) == facts(second.page(index))
-    assert (second.done, second.on_machines(), second.waiting()) == (first.done, first.on_machines(), first.waiting())
+    assert (second.done, second.on_machines(), second.waiting()) == (
+        first.done,
+        first.on_machines(),
+        first.waiting(),
+    )
 
 
 def test_types_learned_while_a_submission_waits_do_not_turn_it_into_a_refusal():
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -1,4 +1,5 @@
-"""One term of leadership: reads the records, then runs the loops that act on them until the term is over."""
+"""One term of leadership: reads the records, then runs the loops that act on them until the term
+is over."""
 
 import asyncio
 import logging
@@ -35,9 +36,13 @@
 GATHER = timedelta(milliseconds=100)
 LOAD = 6  # a plan is followed by a pause of at least this many times its own duration
 WATCH_GAP = timedelta(milliseconds=150)
-HOLD = timedelta(milliseconds=400)  # the most that an answer to a worker waits for a record that it could carry
+HOLD = timedelta(
+    milliseconds=400
+)  # the most that an answer to a worker waits for a record that it could carry
 PLAN_TIME = timedelta(milliseconds=250)
-IDLE_MOST = timedelta(seconds=1.8)  # well within the 4 s after which a worker turns to another controller
+IDLE_MOST = timedelta(
+    seconds=1.8
+)  # well within the 4 s after which a worker turns to another controller
 KEPT_OVER = 10_000
 
 
@@ -92,7 +97,14 @@
         self.memory = FleetMemory(state, term, self.roster, clock)
         self.set_types(types)
         self.dispatcher = Dispatcher(
-            self.jobs, self.roster, self.estimates, self.keeper, params, clock, tuning, self.recorder.mark
+            self.jobs,
+            self.roster,
+            self.estimates,
+            self.keeper,
+            params,
+            clock,
+            tuning,
+            self.recorder.mark,
         )
         self.loaded = asyncio.Event()
         self.woken = asyncio.Event()
@@ -159,7 +171,9 @@
             if job is None:
                 self.recorder.garbage[entry.key] = None
             else:
-                job.add_page(int(index), msgspec.json.decode(entry.value, type=PageRecord), entry.version)
+                job.add_page(
+                    int(index), msgspec.json.decode(entry.value, type=PageRecord), entry.version
+                )
         for job in self.jobs.values():
             self.bookkeeper.restore(job)
         await self.memory.recall()
@@ -177,7 +191,9 @@
         await self.loaded.wait()
         while True:
             try:
-                events, revision = await self.state.watch(JOBS, self.revision, timedelta(seconds=5), Rank.RECORD)
+                events, revision = await self.state.watch(
+                    JOBS, self.revision, timedelta(seconds=5), Rank.RECORD
+                )
             except CompactedError:
                 entries, revision = await self.state.scan(JOBS, Rank.RECORD)
                 events = [Event(e.version, put=e.key, value=e.value) for e in entries]
@@ -281,9 +297,9 @@
         return Commands(self.term.epoch, commands)
 
     async def _wait_for_work(self, machine: Machine) -> None:
-        """Starts go only into answers, and the next report may be seconds away, so an answer waits a little: for the
-        plan that the report itself has woken, or, when the machine is idle, for any plan that gives it something;
-        then for the record of what it was given."""
+        """Starts go only into answers, and the next report may be seconds away, so an answer waits
+        a little: for the plan that the report itself has woken, or, when the machine is idle, for
+        any plan that gives it something; then for the record of what it was given."""
         if not self.bookkeeper.pending(machine):
             patience = ZERO
             if self.woken.is_set():
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -1,9 +1,9 @@
 """Taking, keeping and leaving leadership.
 
-The key `leader` hangs on a lease. Taking it is one transaction that also raises `epoch`; the epoch is the token
-under which commands are given, and the version of `leader` guards every write of the leader. By its own clock the
-leader stops acting before its lease can end: the lease is counted from the moment the renewal was *sent*, and
-shortened by the drift that the protocol allows.
+The key `leader` hangs on a lease. Taking it is one transaction that also raises `epoch`; the epoch
+is the token under which commands are given, and the version of `leader` guards every write of the
+leader. By its own clock the leader stops acting before its lease can end: the lease is counted
+from the moment the renewal was *sent*, and shortened by the drift that the protocol allows.
 """
 
 import asyncio
@@ -17,7 +17,14 @@
 from dappledrum.clock import ZERO, Clock, longer, shorter
 from dappledrum.leadership.messages import EpochRecord, LeaderRecord, PromiseReply, PromiseRequest
 from dappledrum.state.budget import Rank
-from dappledrum.state.client import CompactedError, ConflictError, LeaseLostError, State, StateError, raw
+from dappledrum.state.client import (
+    CompactedError,
+    ConflictError,
+    LeaseLostError,
+    State,
+    StateError,
+    raw,
+)
 from dappledrum.state.messages import Guard, Put
 
 log = logging.getLogger(__name__)
@@ -50,7 +57,13 @@
     """Stands for leader when there is none; renews while leading; knows who leads."""
 
     def __init__(
-        self, member: str, state: State, clock: Clock, rng: random.Random, life: timedelta, ask_peers: Asker
+        self,
+        member: str,
+        state: State,
+        clock: Clock,
+        rng: random.Random,
+        life: timedelta,
+        ask_peers: Asker,
     ) -> None:
         self.member = member
         self.state = state
@@ -61,7 +74,8 @@
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self.on_change: Callable[[], None] = lambda: None
-        # An earlier process of this member may have promised something that this one does not know of.
+        # An earlier process of this member may have promised something that this one does not know
+        # of.
         self.stand_after = clock.now() + longer(PROMISE)
         self.avoid_until = ZERO
         self.tried_epoch: int | None = None
@@ -74,7 +88,8 @@
         return term
 
     def holding(self) -> Term | None:
-        """The running term, if leases may at least be renewed: by the lease, or by the promise of all peers."""
+        """The running term, if leases may at least be renewed: by the lease, or by the promise of
+        all peers."""
         term = self.term
         if term is None or term.over.is_set():
             return None
@@ -111,7 +126,9 @@
         self._learn(msgspec.json.decode(holder.value, type=LeaderRecord))
         while True:
             try:
-                events, revision = await self.state.watch(LEADER, revision, self.life * 2, Rank.LEASE)
+                events, revision = await self.state.watch(
+                    LEADER, revision, self.life * 2, Rank.LEASE
+                )
             except CompactedError:
                 return
             for event in events:
@@ -135,7 +152,9 @@
 
     async def _stand(self) -> None:
         entry = await self.state.get(EPOCH, Rank.LEASE)
-        epoch = msgspec.json.decode(entry.value, type=EpochRecord).epoch if entry is not None else 0
+        epoch = (
+            msgspec.json.decode(entry.value, type=EpochRecord).epoch if entry is not None else 0
+        )
         lease = await self.state.open_lease(self.life)
         if self.stand_after > self.clock.now():
             await self._drop(lease)  # a promise was given while we were reading
@@ -163,7 +182,11 @@
         except StateError:
             await self._drop(lease)
             raise
-        log.warning("leading with epoch %d after %.0f ms", term.epoch, (self.clock.now() - sent).total_seconds() * 1e3)
+        log.warning(
+            "leading with epoch %d after %.0f ms",
+            term.epoch,
+            (self.clock.now() - sent).total_seconds() * 1e3,
+        )
         self.term = term
         self._learn(LeaderRecord(self.member, term.epoch))
         self.on_change()
@@ -183,7 +206,10 @@
         term.valid_until = max(term.valid_until, sent + shorter(self.life) - MARGIN)
 
     async def _keep(self, term: Term) -> None:
-        """Renew until the lease is lost. While the state service is away, ask all peers to keep still."""
+        """Renew until the lease is lost.
+
+        While the state service is away, ask all peers to keep still.
+        """
         while not term.over.is_set():
             try:
                 await self._renew(term)
@@ -206,14 +232,17 @@
     async def _ask(self, term: Term) -> None:
         sent = self.clock.now()
         request = PromiseRequest(self.member, term.epoch, int(PROMISE.total_seconds() * 1000))
-        # Still entitled when asking and when told: a lapsed term is never taken up again on a promise.
+        # Still entitled when asking and when told: a lapsed term is never taken up again on a
+        # promise.
         if await self.ask_peers(request, self.life / 4) and self.holding() is not None:
             term.promised_until = sent + shorter(PROMISE) - MARGIN
 
     def promise(self, request: PromiseRequest) -> PromiseReply:
-        """Answer a leader that can't reach the state service, and which this controller can't reach either.
+        """Answer a leader that can't reach the state service, and which this controller can't
+        reach either.
 
-        Refused when it leads itself, or when it has stood against this epoch: its transaction may still be applied.
+        Refused when it leads itself, or when it has stood against this epoch: its transaction may
+        still be applied.
         """
         now = self.clock.now()
         if self.term is not None:
--- a/dappledrum/main.py
+++ b/dappledrum/main.py
@@ -15,9 +15,17 @@
 
 
 def parser() -> argparse.ArgumentParser:
-    """The command line; operators' own settings are flags, each with a variable for its default."""
-    result = argparse.ArgumentParser(prog="dappledrum", description="Run one controller of a dappledrum cluster.")
-    result.add_argument("--config", type=Path, metavar="FILE", help="settings file handed over by the platform (JSON)")
+    """The command line; operators' own settings are flags, each with a variable for its
+    default."""
+    result = argparse.ArgumentParser(
+        prog="dappledrum", description="Run one controller of a dappledrum cluster."
+    )
+    result.add_argument(
+        "--config",
+        type=Path,
+        metavar="FILE",
+        help="settings file handed over by the platform (JSON)",
+    )
     result.add_argument("--check", action="store_true", help="check the settings and end")
     result.add_argument("--version", action="version", version=f"dappledrum {__version__}")
     result.add_argument(
@@ -32,7 +40,8 @@
         type=float,
         default=os.environ.get("DAPPLEDRUM_READY_SHARE", "0.3"),
         metavar="X",
-        help="ready share of a stage above which machines are rented for it (DAPPLEDRUM_READY_SHARE; default 0.3)",
+        help="ready share of a stage above which machines are rented for it"
+        " (DAPPLEDRUM_READY_SHARE; default 0.3)",
     )
     return result
 
--- a/dappledrum/model/__init__.py
+++ b/dappledrum/model/__init__.py
@@ -1,1 +1,4 @@
-"""Slow and plain models that the real code is compared with. For tests only."""
+"""Slow and plain models that the real code is compared with.
+
+For tests only.
+"""
--- a/dappledrum/model/dds.py
+++ b/dappledrum/model/dds.py
@@ -1,7 +1,7 @@
 """Algorithms 1 and 2 in the plainest form: one task at a time, and every time step tried.
 
-Written apart from the planner, from the paper's text and DESIGN. A machine is its list of reservations; times are
-seconds as numbers. Nothing is cached, copied or taken in groups.
+Written apart from the planner, from the paper's text and DESIGN. A machine is its list of
+reservations; times are seconds as numbers. Nothing is cached, copied or taken in groups.
 """
 
 import math
@@ -34,9 +34,15 @@
 
     def room(self, cpus: float, run: float) -> tuple[float, float] | None:
         """Earliest start and the finish of a task."""
-        moments = sorted({self.ready} | {t for s, f, _ in self.reserved for t in (s, f) if t >= self.ready})
+        moments = sorted(
+            {self.ready} | {t for s, f, _ in self.reserved for t in (s, f) if t >= self.ready}
+        )
         for start in moments:
-            finish = start + run + (self.fetch if self.image_at is None else max(0.0, self.image_at - start))
+            finish = (
+                start
+                + run
+                + (self.fetch if self.image_at is None else max(0.0, self.image_at - start))
+            )
             inside = [m for m in moments if start <= m < finish]
             if all(self.used(m) + cpus <= self.cpus + 1e-6 for m in inside):
                 return start, finish
@@ -48,8 +54,15 @@
 
     def cost(self, finish: float, length: float) -> float:
         """Price that a task until then adds."""
-        before = 0 if self.fresh and not self.reserved else self.intervals(self.committed(), length)
-        return (self.intervals(max(self.committed(), finish), length) - before) * length / 3600 * self.hourly
+        before = (
+            0 if self.fresh and not self.reserved else self.intervals(self.committed(), length)
+        )
+        return (
+            (self.intervals(max(self.committed(), finish), length) - before)
+            * length
+            / 3600
+            * self.hourly
+        )
 
     def take(self, start: float, finish: float, cpus: float) -> None:
         """Reserve."""
@@ -59,9 +72,18 @@
 
 
 def fill(
-    machines: list[PlainMachine], cpus: float, run: float, count: int, length: float, now: float, due: float
+    machines: list[PlainMachine],
+    cpus: float,
+    run: float,
+    count: int,
+    length: float,
+    now: float,
+    due: float,
 ) -> list[tuple[str, float]]:
-    """Algorithm 1 for one bag: the placements, as machine and start. A task that would wait and be late is left out."""
+    """Algorithm 1 for one bag: the placements, as machine and start.
+
+    A task that would wait and be late is left out.
+    """
     placed = []
     for _ in range(count):
         options = []
@@ -71,7 +93,9 @@
             if room is None or (room[0] > now and room[1] > due):
                 continue
             if room[1] <= paid_until + 1e-9:
-                options.append((room[1], machine.hourly / machine.cpus, -machine.committed(), index, room[0]))
+                options.append(
+                    (room[1], machine.hourly / machine.cpus, -machine.committed(), index, room[0])
+                )
         if not options:
             break
         finish, _, _, index, start = min(options)
@@ -130,9 +154,17 @@
 def copied(machine: PlainMachine) -> PlainMachine:
     """An independent copy."""
     return PlainMachine(
-        machine.name, machine.kind, machine.cpus, machine.ready, machine.rented, machine.hourly, machine.fetch,
-        machine.image_at, list(machine.reserved), machine.fresh,
-    )  # fmt: skip
+        machine.name,
+        machine.kind,
+        machine.cpus,
+        machine.ready,
+        machine.rented,
+        machine.hourly,
+        machine.fetch,
+        machine.image_at,
+        list(machine.reserved),
+        machine.fresh,
+    )
 
 
 def no_overuse(machine: PlainMachine) -> bool:
--- a/dappledrum/model/rules.py
+++ b/dappledrum/model/rules.py
@@ -64,7 +64,9 @@
             self._break("went_back", at, f"{job} was {facts.told}, now {state}")
         if state == "done":
             if len(facts.done) < facts.spec["beats"]:
-                self._break("not_done", at, f"{job} with {len(facts.done)} of {facts.spec['beats']}")
+                self._break(
+                    "not_done", at, f"{job} with {len(facts.done)} of {facts.spec['beats']}"
+                )
             facts.told = state
         if state == "cancelled":
             if not facts.cancel_asked:
@@ -73,14 +75,21 @@
             if facts.cancelled_at is None:
                 facts.cancelled_at = at
 
-    def started(self, at: float, machine: str, kind: tuple[str, str, bool], job: str, task: int) -> None:
+    def started(
+        self, at: float, machine: str, kind: tuple[str, str, bool], job: str, task: int
+    ) -> None:
         """A task has its image and starts on a machine."""
         self.starts += 1
         facts = self.jobs[job]
         places = self.running.setdefault((job, task), {})
         if any(other != machine for other in places):
             self._break("ran_twice", at, f"{job}/{task} on {machine} and {', '.join(places)}")
-        others = [k for (j, t), where in self.running.items() if j == job and t != task for k in where.values()]
+        others = [
+            k
+            for (j, t), where in self.running.items()
+            if j == job and t != task
+            for k in where.values()
+        ]
         places[machine] = kind
         self._place(at, facts.spec, kind, others)
         self._quota(at, facts.spec["crew"])
@@ -97,10 +106,16 @@
             self.jobs[job].done.add(task)
 
     def _place(
-        self, at: float, spec: dict[str, Any], kind: tuple[str, str, bool], others: list[tuple[str, str, bool]]
+        self,
+        at: float,
+        spec: dict[str, Any],
+        kind: tuple[str, str, bool],
+        others: list[tuple[str, str, bool]],
     ) -> None:
         name, zone, spot = kind
-        wrong = (spec.get("builds") is not None and name not in spec["builds"]) or (spot and not spec["loaners"])
+        wrong = (spec.get("builds") is not None and name not in spec["builds"]) or (
+            spot and not spec["loaners"]
+        )
         wrong = wrong or (spec.get("hall") is not None and zone != spec["hall"])
         wrong = wrong or (spec["oneZone"] and any(other[1] != zone for other in others))
         here = 1 + sum(other[1] == zone for other in others)
--- a/dappledrum/model/test_rules.py
+++ b/dappledrum/model/test_rules.py
@@ -100,11 +100,21 @@
     job(6, spread=True),
 ]
 CASES = [
-    (ran_twice, "ran_twice"), (quota, "quota"), (wrong_type, "wrong_place"), (wrong_kind, "wrong_place"),
-    (two_zones, "wrong_place"), (no_spread, "wrong_place"), (ran_cancelled, "ran_cancelled"),
-    (started_cancelled, "ran_cancelled"), (forgotten, "forgotten"), (refused_later, "forgotten"),
-    (invented, "invented"), (not_done, "not_done"), (went_back, "went_back"), (cancelled_unasked, "went_back"),
-]  # fmt: skip
+    (ran_twice, "ran_twice"),
+    (quota, "quota"),
+    (wrong_type, "wrong_place"),
+    (wrong_kind, "wrong_place"),
+    (two_zones, "wrong_place"),
+    (no_spread, "wrong_place"),
+    (ran_cancelled, "ran_cancelled"),
+    (started_cancelled, "ran_cancelled"),
+    (forgotten, "forgotten"),
+    (refused_later, "forgotten"),
+    (invented, "invented"),
+    (not_done, "not_done"),
+    (went_back, "went_back"),
+    (cancelled_unasked, "went_back"),
+]
 
 
 @pytest.mark.parametrize(("history", "rule"), CASES, ids=lambda x: getattr(x, "__name__", x))
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -51,7 +51,8 @@
 
 
 class Node:
-    """A controller; how it is connected is left to the caller, so tests can run several in one process."""
+    """A controller; how it is connected is left to the caller, so tests can run several in one
+    process."""
 
     def __init__(
         self,
@@ -82,12 +83,20 @@
 
     async def run(self) -> None:
         """Everything that goes on by itself."""
-        await asyncio.gather(self.elector.run(), self._lead(), self._learn_types(), self._hear_workers())
+        await asyncio.gather(
+            self.elector.run(), self._lead(), self._learn_types(), self._hear_workers()
+        )
 
     def _set_share(self) -> None:
         others = max(1, len(self.settings.seeds))
         alone = not self.settings.seeds
-        share = 1.0 if alone else LEADER_SHARE if self.elector.term is not None else (1 - LEADER_SHARE) / others
+        share = (
+            1.0
+            if alone
+            else LEADER_SHARE
+            if self.elector.term is not None
+            else (1 - LEADER_SHARE) / others
+        )
         self.state.set_share(share * 0.95)
 
     def _leadership_changed(self) -> None:
@@ -103,9 +112,16 @@
             if term is None or term.over.is_set():
                 continue
             self.leader = Leader(
-                term, lambda: self.elector.leading() is not None, self.state, self.cloud, self.params, self.clock,
-                self.tuning, self.intake.types or [], self._job_ended,
-            )  # fmt: skip
+                term,
+                lambda: self.elector.leading() is not None,
+                self.state,
+                self.cloud,
+                self.params,
+                self.clock,
+                self.tuning,
+                self.intake.types or [],
+                self._job_ended,
+            )
             try:
                 await self.leader.run()
             except Exception:
@@ -118,7 +134,8 @@
         self.intake.remember(job.id, job.ended_record())
 
     async def _learn_types(self) -> None:
-        """Get the catalog once: from a record of it if there is one, since the cloud may be away."""
+        """Get the catalog once: from a record of it if there is one, since the cloud may be
+        away."""
         while True:
             types = await self._stored_types() or await self._cloud_types()
             if types:
@@ -133,7 +150,9 @@
     async def _stored_types(self) -> list[MachineType]:
         try:
             entry = await self.state.get(CATALOG, Rank.INTAKE)
-            return msgspec.json.decode(entry.value, type=Catalog).types if entry is not None else []
+            return (
+                msgspec.json.decode(entry.value, type=Catalog).types if entry is not None else []
+            )
         except (StateError, msgspec.DecodeError) as error:
             log.info("no stored catalog: %s", error)
             return []
@@ -164,9 +183,13 @@
             heard = self.knocks.last
             if now - leader.began < silence or (heard is not None and now - heard < silence):
                 continue
-            names = shunned(await self.peers.knocks(KNOCK_TIME, timedelta(seconds=1)), leader.roster)
+            names = shunned(
+                await self.peers.knocks(KNOCK_TIME, timedelta(seconds=1)), leader.roster
+            )
             if names and self.leader is leader:
-                self.elector.resign(f"no worker reaches this controller, {len(names)} try others", AVOID)
+                self.elector.resign(
+                    f"no worker reaches this controller, {len(names)} try others", AVOID
+                )
 
     # users and workers
 
@@ -196,11 +219,13 @@
         return None
 
     async def _ready(self, _request: Request) -> Response:
-        """Ready once the state service was reached; an outage later on changes nothing, flapping is worse."""
+        """Ready once the state service was reached; an outage later on changes nothing, flapping
+        is worse."""
         return Response(HTTPStatus.OK if self.state.reached else HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def _for_user(self, request: Request) -> Response:
-        """Serve a user here, or through a peer while the state service does not serve this controller."""
+        """Serve a user here, or through a peer while the state service does not serve this
+        controller."""
         if self.state.troubled():
             relayed = await self._relay(request)
             if relayed is not None:
@@ -224,7 +249,10 @@
     async def _relay(self, request: Request) -> Response | None:
         """Ask the peers at the same time, and take the first answer that is one."""
         question = Relay(request.method, request.path, request.body)
-        asked = [asyncio.ensure_future(self.peers.relay(member, question, RELAY_TIME)) for member in self.peers.callers]
+        asked = [
+            asyncio.ensure_future(self.peers.relay(member, question, RELAY_TIME))
+            for member in self.peers.callers
+        ]
         try:
             for done in asyncio.as_completed(asked):
                 reply = await done
@@ -250,7 +278,9 @@
                 return Response(HTTPStatus.OK, msgspec.json.encode(commands))
         known = self.elector.leader
         if known is not None and known.member != self.settings.member:
-            return Response(HTTPStatus.MISDIRECTED_REQUEST, msgspec.json.encode(Redirect(known.member)))
+            return Response(
+                HTTPStatus.MISDIRECTED_REQUEST, msgspec.json.encode(Redirect(known.member))
+            )
         return busy()
 
     # peers
@@ -264,7 +294,9 @@
         except MalformedError as error:
             log.warning("unusable message from a peer: %s", error)
             return Response(HTTPStatus.BAD_REQUEST)
-        return Response(HTTPStatus.OK, encode(await self._answer(question)), content_type="application/cbor")
+        return Response(
+            HTTPStatus.OK, encode(await self._answer(question)), content_type="application/cbor"
+        )
 
     async def _answer(self, question: Question) -> Reply:
         if isinstance(question, Relay):
@@ -276,8 +308,8 @@
             within = timedelta(milliseconds=min(max(question.within_ms, 0), 60_000))
             return KnocksReply(self.knocks.within(within, self.clock.now()))
         assert isinstance(question, Promise)
-        # Ask first, every time: while this controller is served, a leader that is refused alone must not be kept in
-        # office, since leadership can simply move.
+        # Ask first, every time: while this controller is served, a leader that is refused alone
+        # must not be kept in office, since leadership can simply move.
         try:
             await self.state.get(CATALOG, Rank.LEASE, timedelta(milliseconds=300))
         except StateError as error:
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -37,18 +37,30 @@
             return None
 
     async def promise(self, request: PromiseRequest, timeout: timedelta) -> bool:
-        """Whether every other controller promises not to stand. One that does not answer has not promised."""
-        asked = [self._ask(member, Promise(request), PromiseReply, timeout) for member in self.callers]
+        """Whether every other controller promises not to stand.
+
+        One that does not answer has not promised.
+        """
+        asked = [
+            self._ask(member, Promise(request), PromiseReply, timeout) for member in self.callers
+        ]
         replies = await asyncio.gather(*asked)
         for member, reply in zip(self.callers, replies, strict=True):
             if reply is None or not reply.granted:
-                log.info("no promise from %s: %s", member, "no answer" if reply is None else reply.reason)
+                log.info(
+                    "no promise from %s: %s",
+                    member,
+                    "no answer" if reply is None else reply.reason,
+                )
         return all(reply is not None and reply.granted for reply in replies)
 
     async def knocks(self, within: timedelta, timeout: timedelta) -> dict[str, int]:
-        """Machines that have tried to report to another controller, and how often they came to the same one."""
+        """Machines that have tried to report to another controller, and how often they came to the
+        same one."""
         question = Knocks(int(within.total_seconds() * 1000))
-        replies = await asyncio.gather(*(self._ask(m, question, KnocksReply, timeout) for m in self.callers))
+        replies = await asyncio.gather(
+            *(self._ask(m, question, KnocksReply, timeout) for m in self.callers)
+        )
         result: dict[str, int] = {}
         for reply in replies:
             for name, count in reply.machines.items() if reply is not None else ():
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -1,4 +1,7 @@
-"""Messages between controllers. Each is a CBOR map with its `kind`; unknown fields are ignored."""
+"""Messages between controllers.
+
+Each is a CBOR map with its `kind`; unknown fields are ignored.
+"""
 
 from typing import Any
 
--- a/dappledrum/scheduling/deadlines.py
+++ b/dappledrum/scheduling/deadlines.py
@@ -1,7 +1,8 @@
 """When a stage should be complete.
 
-A protocol job is a pipeline of one stage, which gets the whole deadline; `divide` is what splits the deadline of a
-longer pipeline by estimated work (DESIGN). A job without a deadline takes one from the objectives of its class.
+A protocol job is a pipeline of one stage, which gets the whole deadline; `divide` is what splits
+the deadline of a longer pipeline by estimated work (DESIGN). A job without a deadline takes one
+from the objectives of its class.
 """
 
 from collections.abc import Sequence
@@ -27,7 +28,8 @@
 def stage_deadlines(
     objectives: Sequence[Objective], job_class: str, due: timedelta | None, task_time: timedelta
 ) -> list[timedelta]:
-    """Times from acceptance by which somebody expects the stage to be complete, the earliest first."""
+    """Times from acceptance by which somebody expects the stage to be complete, the earliest
+    first."""
     limits: set[timedelta] = set()
     for objective in objectives:
         if objective.job_class not in (None, job_class):
--- a/dappledrum/scheduling/estimates.py
+++ b/dappledrum/scheduling/estimates.py
@@ -1,8 +1,8 @@
 """How long tasks take: mean plus one deviation (paper, section 4.2, equation 11).
 
-Before any task of a job has completed, the owner's estimate stands for the mean and a quarter of it for the
-deviation (DESIGN). Owners are often wrong, and mostly in the same way for a class on a day, so the classes' ratio of
-actual to expected time is learned and blended in.
+Before any task of a job has completed, the owner's estimate stands for the mean and a quarter of
+it for the deviation (DESIGN). Owners are often wrong, and mostly in the same way for a class on a
+day, so the classes' ratio of actual to expected time is learned and blended in.
 """
 
 import math
@@ -65,7 +65,9 @@
         middle = seen.mean * seen.count / (seen.count + PRIOR_WEIGHT)
         return min(max(math.exp(middle), RATIO_BOUNDS[0]), RATIO_BOUNDS[1])
 
-    def moments(self, job: str, job_class: str, expected: timedelta) -> tuple[timedelta, timedelta]:
+    def moments(
+        self, job: str, job_class: str, expected: timedelta
+    ) -> tuple[timedelta, timedelta]:
         """Mean and deviation of a task's run time."""
         mean = expected.total_seconds() * self.ratio(job_class)
         variance = (PRIOR_DEVIATION * mean) ** 2
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -1,8 +1,8 @@
 """Machines as the planner sees them: a profile of free resources over time.
 
-The paper's machine runs one task at a time. Ours runs as many as fit, so a machine counts as lanes of the task's
-size, and what the paper calls the total execution time of assigned tasks is the time until which the machine is
-committed.
+The paper's machine runs one task at a time. Ours runs as many as fit, so a machine counts as lanes
+of the task's size, and what the paper calls the total execution time of assigned tasks is the time
+until which the machine is committed.
 """
 
 import math
@@ -21,7 +21,11 @@
 
     def times(self, other: "Size") -> int:
         """How many of the other fit in here."""
-        counts = [math.floor((have + EPSILON) / need) for have, need in zip(self, other, strict=True) if need > EPSILON]
+        counts = [
+            math.floor((have + EPSILON) / need)
+            for have, need in zip(self, other, strict=True)
+            if need > EPSILON
+        ]
         return max(0, min(counts)) if counts else 1_000
 
     def minus(self, other: "Size", count: int = 1) -> "Size":
@@ -95,7 +99,8 @@
         return other
 
     def duration(self, run: timedelta, image: str, image_gb: float, start: timedelta) -> timedelta:
-        """The estimate Q of a task that starts here then: its run time, and what is left of the image's fetch."""
+        """The estimate Q of a task that starts here then: its run time, and what is left of the
+        image's fetch."""
         at = self.images.get(image)
         if at is None:
             return run + timedelta(seconds=image_gb / max(self.fetch_gb_per_s, 1e-3))
@@ -144,7 +149,9 @@
     def expect(self, image: str, image_gb: float, start: timedelta) -> None:
         """An image will be fetched for a task that starts then."""
         if image not in self.images:
-            self.images[image] = start + timedelta(seconds=image_gb / max(self.fetch_gb_per_s, 1e-3))
+            self.images[image] = start + timedelta(
+                seconds=image_gb / max(self.fetch_gb_per_s, 1e-3)
+            )
 
     def intervals(self, until: timedelta) -> int:
         """Billed intervals from the rental until then."""
@@ -155,7 +162,8 @@
         return self.rented_at + self.intervals(self.committed) * self.interval
 
     def added_cost(self, finish: timedelta, fresh: bool) -> float:
-        """Price of the intervals that a task until then would add; a machine not rented yet adds all of its own."""
+        """Price of the intervals that a task until then would add; a machine not rented yet adds
+        all of its own."""
         after = self.intervals(max(self.committed, finish))
         before = 0 if fresh else self.intervals(self.committed)
         return (after - before) * self.interval.total_seconds() / 3600 * self.hourly
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -1,8 +1,9 @@
 """The paper's DDS (Algorithm 3) on the machines at hand and those that could be rented.
 
-A plan is made afresh at each wake from what is known then: Algorithm 1 (BDS) puts tasks into room that is paid for
-anyway, Algorithm 2 (SIR) spreads the rest over machines of a single type, rented anew where that is cheapest in
-time. What starts now is started; the rest only shows which machines are needed.
+A plan is made afresh at each wake from what is known then: Algorithm 1 (BDS) puts tasks into room
+that is paid for anyway, Algorithm 2 (SIR) spreads the rest over machines of a single type, rented
+anew where that is cheapest in time. What starts now is started; the rest only shows which machines
+are needed.
 """
 
 from collections.abc import Callable, Sequence
@@ -12,7 +13,8 @@
 from dappledrum.clock import ZERO
 from dappledrum.scheduling.lanes import Gap, Kind, Lanes, Size
 
-TRIED = 160  # tasks of one bag that one plan spreads over rented machines; the others wait for the next wake
+# tasks of one bag that one plan spreads over rented machines; the others wait for the next wake
+TRIED = 160
 SLACK = timedelta(milliseconds=500)  # overruns that differ by less are taken for equal
 
 
@@ -30,7 +32,9 @@
     image: str
     image_gb: float
     allowed: Callable[[Kind], bool]
-    rank: tuple[float, ...] = ()  # exceptions that come before the paper's order; smaller goes first
+    rank: tuple[
+        float, ...
+    ] = ()  # exceptions that come before the paper's order; smaller goes first
     one_zone: bool = False
     zone_room: dict[str, int] | None = None  # spread: how many more tasks each zone may take
     team: str = ""
@@ -55,10 +59,14 @@
 class Plan:
     """What follows from a round of planning."""
 
-    starts: list[tuple[str, str, int]] = field(default_factory=list)  # bag, machine, number of tasks
+    starts: list[tuple[str, str, int]] = field(
+        default_factory=list
+    )  # bag, machine, number of tasks
     rentals: dict[Kind, int] = field(default_factory=dict)
     needed: set[str] = field(default_factory=set)  # machines with work to come
-    late: dict[str, int] = field(default_factory=dict)  # tasks of each bag that are planned too late, or not at all
+    late: dict[str, int] = field(
+        default_factory=dict
+    )  # tasks of each bag that are planned too late, or not at all
 
 
 class TeamRoom:
@@ -70,7 +78,11 @@
     def count(self, bag: Bag) -> int:
         """Tasks of the bag that may still start."""
         left = self.room.get(bag.team)
-        return bag.ready if left is None else min(bag.ready, left.times(Size(bag.size.cpus, bag.size.gpus, 0.0)))
+        return (
+            bag.ready
+            if left is None
+            else min(bag.ready, left.times(Size(bag.size.cpus, bag.size.gpus, 0.0)))
+        )
 
     def take(self, bag: Bag, count: int) -> None:
         """Some tasks of the bag will start."""
@@ -105,7 +117,9 @@
             count = self.team_room.count(bag)
             if count <= 0:
                 continue
-            self.team_room.take(bag, count)  # also for what only waits: nobody else may count on it
+            self.team_room.take(
+                bag, count
+            )  # also for what only waits: nobody else may count on it
             zones = self._zones(bag, count)
             placed = self._fill(bag, count, zones)
             if placed < count and self._passes(bag) and not bag.held:
@@ -123,11 +137,14 @@
         """Zones that the bag may use; None: any."""
         if not bag.one_zone:
             return None
-        # Nothing of the job is on a machine yet (else `allowed` fixes the zone): take the zone with the most room.
+        # Nothing of the job is on a machine yet (else `allowed` fixes the zone): take the zone
+        # with the most room.
         room: dict[str, int] = {}
         for lanes in self.lanes:
             if bag.allowed(lanes.kind):
-                room[lanes.kind.zone] = room.get(lanes.kind.zone, 0) + lanes.free[-1].times(bag.size)
+                room[lanes.kind.zone] = room.get(lanes.kind.zone, 0) + lanes.free[-1].times(
+                    bag.size
+                )
         for offer in self.offers:
             if bag.allowed(offer.kind):
                 more = offer.capacity.times(bag.size) * offer.most
@@ -160,15 +177,20 @@
         """Algorithm 1: the earliest finish among lanes whose billed intervals stay the same."""
         gaps: dict[int, Gap] = {}
         usable = [
-            lanes for lanes in self.lanes if bag.allowed(lanes.kind) and (zones is None or lanes.kind.zone in zones)
+            lanes
+            for lanes in self.lanes
+            if bag.allowed(lanes.kind) and (zones is None or lanes.kind.zone in zones)
         ]
         for index, lanes in enumerate(usable):
             self._refresh(gaps, index, lanes, bag)
         placed = 0
         while placed < count and gaps:
-            # Equal finishes are common, as free lanes start at once: take the cheaper machine, then the one that is
-            # committed for longest, so that the others fall idle and can be returned.
-            index = min(gaps, key=lambda i: (gaps[i].finish, usable[i].hourly_cpu, -usable[i].committed, i))
+            # Equal finishes are common, as free lanes start at once: take the cheaper machine,
+            # then the one that is committed for longest, so that the others fall idle and can be
+            # returned.
+            index = min(
+                gaps, key=lambda i: (gaps[i].finish, usable[i].hourly_cpu, -usable[i].committed, i)
+            )
             lanes, gap = usable[index], gaps[index]
             take = self._cap(bag, lanes.kind.zone, min(gap.count, count - placed))
             if take <= 0:
@@ -181,8 +203,9 @@
 
     def _refresh(self, gaps: dict[int, Gap], index: int, lanes: Lanes, bag: Bag) -> None:
         gap = lanes.earliest(bag.size, bag.run, bag.image, bag.image_gb)
-        # The paper's rule has no eye on deadlines, and would queue a task on a paid lane until long after its own: a
-        # task that would both wait and be late is left to Algorithm 2, which can rent.
+        # The paper's rule has no eye on deadlines, and would queue a task on a paid lane until
+        # long after its own: a task that would both wait and be late is left to Algorithm 2, which
+        # can rent.
         in_time = gap is not None and (gap.start <= self.now or gap.finish <= bag.due)
         if gap is not None and in_time and gap.finish <= lanes.billed_until():
             gaps[index] = gap
@@ -192,7 +215,8 @@
     def _rent(self, bag: Bag, count: int) -> None:
         """Algorithm 2: the single type with the least worst overrun, then the least added cost."""
         kinds = sorted(
-            {x.kind for x in self.lanes if bag.allowed(x.kind)} | {o.kind for o in self.offers if bag.allowed(o.kind)}
+            {x.kind for x in self.lanes if bag.allowed(x.kind)}
+            | {o.kind for o in self.offers if bag.allowed(o.kind)}
         )
         best: tuple[tuple[int, timedelta, float], _Trial] | None = None
         tried = min(count, TRIED)
@@ -208,7 +232,11 @@
             self.plan.late[bag.id] = count
             return
         trial = best[1]
-        late = sum(number for _, gap, number, _ in trial.steps if gap.finish > bag.due) + tried - trial.placed
+        late = (
+            sum(number for _, gap, number, _ in trial.steps if gap.finish > bag.due)
+            + tried
+            - trial.placed
+        )
         if late:
             self.plan.late[bag.id] = late
         for lanes in trial.new:
@@ -227,17 +255,26 @@
                 self._commit(bag, lanes, gap, number)
 
     def _try(self, bag: Bag, kind: Kind, count: int) -> "_Trial":
-        """Spread the tasks over machines of one kind: the cheapest lane in time, else the earliest finish."""
+        """Spread the tasks over machines of one kind: the cheapest lane in time, else the earliest
+        finish."""
         trial = _Trial()
         offer = next((o for o in self.offers if o.kind == kind), None)
         if bag.thrifty and not kind.spot and bag.allowed(kind._replace(spot=True)):
             offer = None
-        own: list[tuple[Lanes, Lanes, bool]] = [(x, x.copy(), False) for x in self.lanes if x.kind == kind]
-        gaps: list[Gap | None] = [x[1].earliest(bag.size, bag.run, bag.image, bag.image_gb) for x in own]
+        own: list[tuple[Lanes, Lanes, bool]] = [
+            (x, x.copy(), False) for x in self.lanes if x.kind == kind
+        ]
+        gaps: list[Gap | None] = [
+            x[1].earliest(bag.size, bag.run, bag.image, bag.image_gb) for x in own
+        ]
         room = self._cap(bag, kind.zone, count)
         more = offer.most if offer is not None else 0
         blank = self._blank(offer) if offer is not None else None
-        fresh_gap = blank.earliest(bag.size, bag.run, bag.image, bag.image_gb) if blank is not None else None
+        fresh_gap = (
+            blank.earliest(bag.size, bag.run, bag.image, bag.image_gb)
+            if blank is not None
+            else None
+        )
         while trial.placed < room:
             best: tuple[tuple[int, float, float, int, int], int] | None = None
             for index, gap in enumerate(gaps):
@@ -275,18 +312,31 @@
     def _score(
         self, bag: Bag, lanes: Lanes, gap: Gap, fresh: bool, unrented: bool, index: int
     ) -> tuple[int, float, float, int, int]:
-        """In time: by cost, then age of the rental. Too late: by finish, then cost."""
+        """In time: by cost, then age of the rental.
+
+        Too late: by finish, then cost.
+        """
         cost = lanes.added_cost(gap.finish, fresh=unrented or (fresh and lanes.planned == 0))
         if gap.finish <= bag.due:
             return 0, cost, lanes.rented_at.total_seconds(), unrented, index
         return 1, gap.finish.total_seconds(), cost, unrented, index
 
     def _blank(self, offer: Offer) -> Lanes:
-        """A machine that would be rented now. Its boot is paid for, so its intervals count from now."""
+        """A machine that would be rented now.
+
+        Its boot is paid for, so its intervals count from now.
+        """
         return Lanes(
-            "", offer.kind, offer.capacity, self.now + offer.boot, self.now, offer.hourly, offer.fetch_gb_per_s,
-            offer.interval, booting=True,
-        )  # fmt: skip
+            "",
+            offer.kind,
+            offer.capacity,
+            self.now + offer.boot,
+            self.now,
+            offer.hourly,
+            offer.fetch_gb_per_s,
+            offer.interval,
+            booting=True,
+        )
 
 
 class _Trial:
--- a/dappledrum/scheduling/preempt.py
+++ b/dappledrum/scheduling/preempt.py
@@ -1,6 +1,8 @@
-"""Which running tasks have to go so that others, which the protocol lets go before them, can start in time.
+"""Which running tasks have to go so that others, which the protocol lets go before them, can start
+in time.
 
-The paper never preempts (3.3, assumption 3); the protocol's guarantees and priorities make it necessary.
+The paper never preempts (3.3, assumption 3); the protocol's guarantees and priorities make it
+necessary.
 """
 
 from collections.abc import Hashable, Sequence
@@ -27,7 +29,8 @@
 
 
 def choose(need: Size, count: int, hosts: Sequence[Host]) -> list[Hashable]:
-    """Victims that make room for so many tasks, each time on the machine where least work is wasted.
+    """Victims that make room for so many tasks, each time on the machine where least work is
+    wasted.
 
     What is stopped for one task and leaves more room than needed serves the next ones, too.
     """
--- a/dappledrum/scheduling/test_plan.py
+++ b/dappledrum/scheduling/test_plan.py
@@ -23,7 +23,9 @@
         st.integers(0, 200),  # rented before now
         st.integers(0, 30),  # ready after now; 0: up
         st.booleans(),  # has the image
-        st.lists(st.tuples(st.integers(1, 4), st.integers(1, 150)), max_size=2),  # running: CPUs, seconds left
+        st.lists(
+            st.tuples(st.integers(1, 4), st.integers(1, 150)), max_size=2
+        ),  # running: CPUs, seconds left
     ),
     max_size=4,
 )
@@ -36,11 +38,20 @@
     for index, (kind, age, ready, image, running) in enumerate(rows):
         cpus, hourly, _ = SHAPES[kind]
         at = NOW + ready
-        machine = PlainMachine(f"m{index}", kind, cpus, at, NOW - age, hourly, 10.0, at if image else None)
+        machine = PlainMachine(
+            f"m{index}", kind, cpus, at, NOW - age, hourly, 10.0, at if image else None
+        )
         lanes = Lanes(
-            f"m{index}", Kind(kind, "z", True), Size(cpus, 0, 100), seconds(at), seconds(NOW - age), hourly, 0.5,
-            seconds(LENGTH), booting=ready > 0,
-        )  # fmt: skip
+            f"m{index}",
+            Kind(kind, "z", True),
+            Size(cpus, 0, 100),
+            seconds(at),
+            seconds(NOW - age),
+            hourly,
+            0.5,
+            seconds(LENGTH),
+            booting=ready > 0,
+        )
         if image:
             lanes.images["i"] = seconds(at)
         if ready == 0:
@@ -55,9 +66,17 @@
 
 def bag_of(cpus, run, count, due, **changes):
     base = {
-        "id": "b", "size": Size(cpus, 0, 1), "ready": count, "unready": 0, "total": count, "run": seconds(run),
-        "due": seconds(NOW + due), "image": "i", "image_gb": 5.0, "allowed": lambda kind: True,
-    }  # fmt: skip
+        "id": "b",
+        "size": Size(cpus, 0, 1),
+        "ready": count,
+        "unready": 0,
+        "total": count,
+        "run": seconds(run),
+        "due": seconds(NOW + due),
+        "image": "i",
+        "image_gb": 5.0,
+        "allowed": lambda kind: True,
+    }
     return Bag(**(base | changes))
 
 
@@ -67,7 +86,15 @@
         for kind, (cpus, hourly, boot) in SHAPES.items()
     ]
     offers = [
-        Offer(Kind(kind, "z", True), Size(cpus, 0, 100), hourly, seconds(boot), 0.5, seconds(LENGTH), most)
+        Offer(
+            Kind(kind, "z", True),
+            Size(cpus, 0, 100),
+            hourly,
+            seconds(boot),
+            0.5,
+            seconds(LENGTH),
+            most,
+        )
         for kind, (cpus, hourly, boot) in SHAPES.items()
     ]
     return [(blank, most) for blank in blanks], offers
@@ -153,15 +180,20 @@
 @settings(max_examples=60, derandomize=True, deadline=None)
 @given(st.lists(st.floats(0.1, 500), min_size=1, max_size=30), st.floats(1, 300))
 def test_estimates_are_mean_and_deviation(times, expected):
-    """With the prior as three tasks at the expected time, and a quarter of it as their deviation."""
+    """With the prior as three tasks at the expected time, and a quarter of it as their
+    deviation."""
     estimates = Estimates()
     for took in times:
         estimates.jobs.setdefault("j", Sample()).add(took)
     mean, deviation = estimates.moments("j", "class", seconds(expected))
     step = expected * 0.25
     prior = [expected - step * 1.5**0.5, expected, expected + step * 1.5**0.5]
-    assert abs(mean.total_seconds() - statistics.fmean(prior + times)) < 1e-3 * (1 + mean.total_seconds())
-    assert abs(deviation.total_seconds() - statistics.pstdev(prior + times)) < 1e-2 * (1 + deviation.total_seconds())
+    assert abs(mean.total_seconds() - statistics.fmean(prior + times)) < 1e-3 * (
+        1 + mean.total_seconds()
+    )
+    assert abs(deviation.total_seconds() - statistics.pstdev(prior + times)) < 1e-2 * (
+        1 + deviation.total_seconds()
+    )
 
 
 def test_a_class_that_takes_twice_as_long_as_said_is_learned():
@@ -179,7 +211,11 @@
         Objective("finished", job_class="y", within_s=5),
     ]
     assert stage_deadlines(objectives, "x", None, seconds(30)) == [seconds(50), seconds(100)]
-    assert stage_deadlines(objectives, "x", seconds(40), seconds(30)) == [seconds(40), seconds(50), seconds(100)]
+    assert stage_deadlines(objectives, "x", seconds(40), seconds(30)) == [
+        seconds(40),
+        seconds(50),
+        seconds(100),
+    ]
     assert stage_deadlines(objectives, "z", None, seconds(30)) == []
     assert next_deadline([seconds(50), seconds(100)], seconds(60)) == seconds(100)
     assert next_deadline([seconds(50), seconds(100)], seconds(101)) is None
--- a/dappledrum/scheduling/test_preempt.py
+++ b/dappledrum/scheduling/test_preempt.py
@@ -19,7 +19,10 @@
         Host(
             str(i),
             Size(free, 0, 99),
-            [Victim((i, j), Size(cpus, 0, 1), seconds(lost)) for j, (cpus, lost) in enumerate(running)],
+            [
+                Victim((i, j), Size(cpus, 0, 1), seconds(lost))
+                for j, (cpus, lost) in enumerate(running)
+            ],
         )
         for i, (free, running) in enumerate(rows)
     ]
--- a/dappledrum/standins/fleet.py
+++ b/dappledrum/standins/fleet.py
@@ -32,7 +32,13 @@
 
     def report(self) -> dict[str, Any]:
         """As reports show it."""
-        return {"beat": self.name, "take": self.take, "stance": self.state, "cause": self.cause, "stored": self.stored}
+        return {
+            "beat": self.name,
+            "take": self.take,
+            "stance": self.state,
+            "cause": self.cause,
+            "stored": self.stored,
+        }
 
 
 @dataclass
@@ -48,11 +54,24 @@
     """The worker of one machine, as the protocol describes it."""
 
     def __init__(
-        self, name: str, kind: tuple[str, str, bool], size: dict[str, float], network: Network, rules: Rules,
-        timing: Timing, nodes: list[str], rng: random.Random,
-    ) -> None:  # fmt: skip
+        self,
+        name: str,
+        kind: tuple[str, str, bool],
+        size: dict[str, float],
+        network: Network,
+        rules: Rules,
+        timing: Timing,
+        nodes: list[str],
+        rng: random.Random,
+    ) -> None:
         self.name, self.kind, self.size = name, kind, size
-        self.network, self.rules, self.timing, self.nodes, self.rng = network, rules, timing, nodes, rng
+        self.network, self.rules, self.timing, self.nodes, self.rng = (
+            network,
+            rules,
+            timing,
+            nodes,
+            rng,
+        )
         self.node = rng.choice(nodes)
         self.session, self.sequence, self.token = 1, 0, 0
         self.attempts: dict[tuple[str, int], Attempt] = {}
@@ -63,7 +82,10 @@
         self.hung = False
         self.renewed = self.now()
         self.last_token_change = -1e9
-        self.tasks = [asyncio.get_running_loop().create_task(x) for x in (self._report_loop(), self._lease_loop())]
+        self.tasks = [
+            asyncio.get_running_loop().create_task(x)
+            for x in (self._report_loop(), self._lease_loop())
+        ]
 
     @staticmethod
     def now() -> float:
@@ -116,13 +138,22 @@
         sent, session = self.now(), self.session
         recall = None if self.recall_at is None else max(0.0, self.recall_at - sent)
         body = {
-            "drum": self.name, "endpoint": "10.1.0.1:9000", "build": self.kind[0], "hall": self.kind[1],
-            "loaners": self.kind[2], "set": self.session, "tick": self.sequence, "baton": self.token,
-            "recallS": recall, "beats": [attempt.report() for attempt in self.attempts.values()],
-        }  # fmt: skip
+            "drum": self.name,
+            "endpoint": "10.1.0.1:9000",
+            "build": self.kind[0],
+            "hall": self.kind[1],
+            "loaners": self.kind[2],
+            "set": self.session,
+            "tick": self.sequence,
+            "baton": self.token,
+            "recallS": recall,
+            "beats": [attempt.report() for attempt in self.attempts.values()],
+        }
         link = self.network.caller(self.name, self.node)
         try:
-            answer = await link.request("POST", "/hello", json.dumps(body).encode(), timedelta(seconds=4))
+            answer = await link.request(
+                "POST", "/hello", json.dumps(body).encode(), timedelta(seconds=4)
+            )
         except NoResponseError:
             answer = Reply(599, b"{}")
         while self.hung:
@@ -226,12 +257,21 @@
 
 
 class CloudService:
-    """Rents machines. The list lags; requests may be refused; some machines never come up."""
+    """Rents machines.
+
+    The list lags; requests may be refused; some machines never come up.
+    """
 
     def __init__(
-        self, types: list[dict[str, Any]], network: Network, rules: Rules, timing: Timing, nodes: list[str],
-        rng: random.Random, lag_s: float,
-    ) -> None:  # fmt: skip
+        self,
+        types: list[dict[str, Any]],
+        network: Network,
+        rules: Rules,
+        timing: Timing,
+        nodes: list[str],
+        rng: random.Random,
+        lag_s: float,
+    ) -> None:
         self.types = types
         self.network, self.rules, self.timing, self.nodes, self.rng, self.lag_s = (
             network,
@@ -270,7 +310,9 @@
         count = min(request["number"], self.most - len(self.machines))
         if count <= 0:
             return reply(503, {"error": "no capacity"})
-        names = [self.add((request["build"], request["hall"], request["loaners"])) for _ in range(count)]
+        names = [
+            self.add((request["build"], request["hall"], request["loaners"])) for _ in range(count)
+        ]
         self.answers[request["hire"]] = names
         return reply(200, {"drums": names})
 
@@ -293,7 +335,14 @@
         machine.state = "running"
         size = {wire: model[wire] for wire in ("vcpus", "accelerators", "memGb")}
         machine.worker = Worker(
-            machine.name, machine.kind, size, self.network, self.rules, self.timing, self.nodes, self.rng
+            machine.name,
+            machine.kind,
+            size,
+            self.network,
+            self.rules,
+            self.timing,
+            self.nodes,
+            self.rng,
         )
         self._snapshot()
 
@@ -313,11 +362,16 @@
     def _snapshot(self) -> None:
         rows = [
             {
-                "id": m.name, "endpoint": "10.1.0.1:9000", "build": m.kind[0], "hall": m.kind[1],
-                "loaners": m.kind[2], "stance": m.state, "since": m.since,
+                "id": m.name,
+                "endpoint": "10.1.0.1:9000",
+                "build": m.kind[0],
+                "hall": m.kind[1],
+                "loaners": m.kind[2],
+                "stance": m.state,
+                "since": m.since,
             }
             for m in self.machines.values()
-        ]  # fmt: skip
+        ]
         self.snapshots.append((Worker.now(), rows))
 
     def _list(self) -> Reply:
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -11,7 +11,8 @@
 
 
 class Network:
-    """Hosts by name; a cut between two of them holds requests back and delivers them when it ends."""
+    """Hosts by name; a cut between two of them holds requests back and delivers them when it
+    ends."""
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
@@ -33,7 +34,9 @@
         for source, target, method, path, body in held:
             self.late += 1
             if target in self.services:
-                asyncio.get_running_loop().create_task(self._late(source, target, method, path, body))
+                asyncio.get_running_loop().create_task(
+                    self._late(source, target, method, path, body)
+                )
 
     async def _late(self, source: str, target: str, method: str, path: str, body: bytes) -> None:
         await self.services[target](source, method, path, body)
@@ -51,7 +54,9 @@
         self.source = source
         self.target = target
 
-    async def request(self, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+    async def request(
+        self, method: str, path: str, body: bytes | None, timeout: timedelta
+    ) -> Reply:
         """As the real client: an answer, or NoResponseError."""
         try:
             async with asyncio.timeout(timeout.total_seconds()):
--- a/dappledrum/standins/state_service.py
+++ b/dappledrum/standins/state_service.py
@@ -14,7 +14,10 @@
 
 
 class StateService:
-    """All in memory. `out` stands for an outage; hosts in `refused` get 503 while others are served."""
+    """All in memory.
+
+    `out` stands for an outage; hosts in `refused` get 503 while others are served.
+    """
 
     def __init__(self) -> None:
         self.tally = 0
@@ -79,9 +82,15 @@
         return reply(200, {"key": key, "value": value, "stamp": stamp, "hold": hold})
 
     def _list(self, options: dict[str, str]) -> Reply:
-        prefix, after, page = options["prefix"], options.get("from", ""), int(options.get("page", "1000"))
+        prefix, after, page = (
+            options["prefix"],
+            options.get("from", ""),
+            int(options.get("page", "1000")),
+        )
         names = sorted(key for key in self.keys if key.startswith(prefix) and key > after)
-        pairs = [{"key": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:page]]
+        pairs = [
+            {"key": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:page]
+        ]
         return reply(200, {"pairs": pairs, "more": len(names) > page, "tally": self.tally})
 
     def _holds(self, method: str, route: str, body: bytes) -> Reply:
@@ -109,7 +118,11 @@
             assert len(json.dumps(change.get("value"))) <= 8192 * 1.2, "value too large"
             if change.get("hold") is not None and change["hold"] not in self.holds:
                 return reply(400, {"error": "no such lease"})
-        failed = [g["key"] for g in body["guards"] if self.keys.get(g["key"], (None, 0, None))[1] != g["stamp"]]
+        failed = [
+            g["key"]
+            for g in body["guards"]
+            if self.keys.get(g["key"], (None, 0, None))[1] != g["stamp"]
+        ]
         if failed:
             return reply(409, {"failed": failed, "tally": self.tally})
         if changes:
@@ -117,7 +130,9 @@
             for change in changes:
                 if "write" in change:
                     self.keys[change["write"]] = (change["value"], self.tally, change.get("hold"))
-                    self.log.append({"write": change["write"], "value": change["value"], "stamp": self.tally})
+                    self.log.append(
+                        {"write": change["write"], "value": change["value"], "stamp": self.tally}
+                    )
                 elif self.keys.pop(change["remove"], None) is not None:
                     self.log.append({"remove": change["remove"], "stamp": self.tally})
             self._tell()
@@ -133,7 +148,8 @@
                 events = [
                     event
                     for event in self.log
-                    if event["stamp"] > since and (event.get("write") or event["remove"]).startswith(options["prefix"])
+                    if event["stamp"] > since
+                    and (event.get("write") or event["remove"]).startswith(options["prefix"])
                 ]
             if events or loop.time() >= end:
                 return reply(200, {"tally": self.tally, "events": events})
--- a/dappledrum/standins/time.py
+++ b/dappledrum/standins/time.py
@@ -1,4 +1,5 @@
-"""An event loop whose time jumps to the next timer, so a day passes in seconds and always in the same way."""
+"""An event loop whose time jumps to the next timer, so a day passes in seconds and always in the
+same way."""
 
 import asyncio
 import selectors
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -30,24 +30,57 @@
 
 TYPES = [
     {
-        "label": "small", "vcpus": 4.0, "accelerators": 0.0, "memGb": 16.0, "cacheGb": 20.0, "fetchGbPerS": 1.0,
-        "hourly": 0.3, "marketPrice": 0.1, "readyS": 8.0, "halls": ["a", "b"],
+        "label": "small",
+        "vcpus": 4.0,
+        "accelerators": 0.0,
+        "memGb": 16.0,
+        "cacheGb": 20.0,
+        "fetchGbPerS": 1.0,
+        "hourly": 0.3,
+        "marketPrice": 0.1,
+        "readyS": 8.0,
+        "halls": ["a", "b"],
     },
     {
-        "label": "large", "vcpus": 16.0, "accelerators": 1.0, "memGb": 64.0, "cacheGb": 40.0, "fetchGbPerS": 1.0,
-        "hourly": 1.4, "marketPrice": 0.5, "readyS": 12.0, "halls": ["a"],
+        "label": "large",
+        "vcpus": 16.0,
+        "accelerators": 1.0,
+        "memGb": 64.0,
+        "cacheGb": 40.0,
+        "fetchGbPerS": 1.0,
+        "hourly": 1.4,
+        "marketPrice": 0.5,
+        "readyS": 12.0,
+        "halls": ["a"],
     },
-]  # fmt: skip
+]
 
 
 def job(number: int, **changes: Any) -> dict[str, Any]:  # noqa: ANN401 - any field of a submission
     """A submission; `runS` is what its tasks really take, and not sent."""
     spec: dict[str, Any] = {
-        "id": f"j-{number:06d}", "pattern": "plain", "crew": "blue", "form": "batch", "urgency": "standard",
-        "beats": 4, "vcpus": 2.0, "accelerators": 0.0, "memGb": 2.0, "skin": "img-1", "pullGb": 0.5, "builds": None,
-        "hall": None, "oneZone": False, "spread": False, "loaners": True, "expectedS": 6.0, "markEveryS": 0.0,
-        "markTakeS": 0.0, "dueS": 120.0, "runS": 6.0,
-    }  # fmt: skip
+        "id": f"j-{number:06d}",
+        "pattern": "plain",
+        "crew": "blue",
+        "form": "batch",
+        "urgency": "standard",
+        "beats": 4,
+        "vcpus": 2.0,
+        "accelerators": 0.0,
+        "memGb": 2.0,
+        "skin": "img-1",
+        "pullGb": 0.5,
+        "builds": None,
+        "hall": None,
+        "oneZone": False,
+        "spread": False,
+        "loaners": True,
+        "expectedS": 6.0,
+        "markEveryS": 0.0,
+        "markTakeS": 0.0,
+        "dueS": 120.0,
+        "runS": 6.0,
+    }
     return spec | changes
 
 
@@ -66,12 +99,16 @@
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         self.network = Network(self.rng)
-        self.rules = Rules(30.0, {team.name: (team.cpus_max, team.gpus_max) for team in self.teams})
+        self.rules = Rules(
+            30.0, {team.name: (team.cpus_max, team.gpus_max) for team in self.teams}
+        )
         self.state = StateService()
         timing = Timing(1.0, self.lease_s)
         self.timing = timing
         types = [dict(kind) for kind in TYPES]
-        self.cloud = CloudService(types, self.network, self.rules, timing, list(self.members), self.rng, 4.0)
+        self.cloud = CloudService(
+            types, self.network, self.rules, timing, list(self.members), self.rng, 4.0
+        )
         self.network.services["state"] = self.state
         self.network.services["cloud"] = self.cloud
         self.params = Params(
@@ -90,15 +127,30 @@
         """Start a controller's process."""
         peers = [Peer(other, "a", "127.0.0.1:1") for other in self.members if other != member]
         settings = Settings(
-            member, "a", "127.0.0.1:1", "127.0.0.1:2", External("127.0.0.1:3", "127.0.0.1:4"), self.params, peers
+            member,
+            "a",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            External("127.0.0.1:3", "127.0.0.1:4"),
+            self.params,
+            peers,
         )
         index = self.members.index(member)
-        clock = SkewedClock((-0.0005, 0.0, 0.0005)[index % 3], timedelta(seconds=(-0.2, 0.2, 0.0)[index % 3]))
-        callers = {peer.member: self.network.caller(member, "back-" + peer.member) for peer in peers}
+        clock = SkewedClock(
+            (-0.0005, 0.0, 0.0005)[index % 3], timedelta(seconds=(-0.2, 0.2, 0.0)[index % 3])
+        )
+        callers = {
+            peer.member: self.network.caller(member, "back-" + peer.member) for peer in peers
+        }
         node = Node(
-            settings, Tuning(), clock, random.Random(self.rng.random()), self.network.caller(member, "state"),
-            self.network.caller(member, "cloud"), dict(callers),
-        )  # fmt: skip
+            settings,
+            Tuning(),
+            clock,
+            random.Random(self.rng.random()),
+            self.network.caller(member, "state"),
+            self.network.caller(member, "cloud"),
+            dict(callers),
+        )
         self.nodes[member] = node
         self.processes[member] = asyncio.get_running_loop().create_task(node.run())
         self.network.services[member] = self._public(node)
@@ -134,7 +186,11 @@
 
     def leader(self) -> str | None:
         """The controller that leads at this moment."""
-        leading = [member for member, node in self.nodes.items() if self.alive(member) and node.elector.leading()]
+        leading = [
+            member
+            for member, node in self.nodes.items()
+            if self.alive(member) and node.elector.leading()
+        ]
         assert len(leading) <= 1, f"two leaders: {leading}"
         return leading[0] if leading else None
 
@@ -163,31 +219,43 @@
         """Let time pass until something holds; how long it took."""
         began = asyncio.get_running_loop().time()
         while not check():
-            assert asyncio.get_running_loop().time() - began < most, "it did not come about in time"
+            assert asyncio.get_running_loop().time() - began < most, (
+                "it did not come about in time"
+            )
             await self.wait(0.25)
         return asyncio.get_running_loop().time() - began
 
     # users
 
-    async def _ask(self, method: str, path: str, body: bytes | None = None, member: str | None = None) -> Reply | None:
+    async def _ask(
+        self, method: str, path: str, body: bytes | None = None, member: str | None = None
+    ) -> Reply | None:
         alive = [m for m in self.members if m in self.network.services]
         if not alive:
             return None
         target = member if member is not None else self.rng.choice(alive)
         try:
-            return await self.network.caller("user", target).request(method, path, body, timedelta(seconds=5))
+            return await self.network.caller("user", target).request(
+                method, path, body, timedelta(seconds=5)
+            )
         except NoResponseError:
             return None
 
-    async def submit(self, spec: dict[str, Any], tries: int = 40, member: str | None = None) -> int | None:
+    async def submit(
+        self, spec: dict[str, Any], tries: int = 40, member: str | None = None
+    ) -> int | None:
         """Submit a job, and again until there is an answer."""
         self.rules.submitted(spec)
-        body = json.dumps({key: value for key, value in spec.items() if key not in ("runS", "broken")}).encode()
+        body = json.dumps(
+            {key: value for key, value in spec.items() if key not in ("runS", "broken")}
+        ).encode()
         for _ in range(tries):
             reply = await self._ask("POST", "/submissions", body, member)
             now = asyncio.get_running_loop().time()
             if reply is not None:
-                state = json.loads(reply.body).get("stance") if reply.status in (200, 201) else None
+                state = (
+                    json.loads(reply.body).get("stance") if reply.status in (200, 201) else None
+                )
                 self.rules.submit_answer(now, spec["id"], reply.status, state)
                 if reply.status in (200, 201, 400, 422):
                     return reply.status
--- a/dappledrum/state/__init__.py
+++ b/dappledrum/state/__init__.py
@@ -1,1 +1,2 @@
-"""Client of the state service: keys, transactions, holds and watches, within this controller's share of its limits."""
+"""Client of the state service: keys, transactions, holds and watches, within this controller's
+share of its limits."""
--- a/dappledrum/state/budget.py
+++ b/dappledrum/state/budget.py
@@ -1,7 +1,7 @@
 """Token buckets that keep this controller within its share of the state service's rates.
 
-Requests are taken in the order of their importance: each kind leaves a reserve that only more important kinds may
-use, so polls can starve neither intake nor the renewal of the leader's lease.
+Requests are taken in the order of their importance: each kind leaves a reserve that only more
+important kinds may use, so polls can starve neither intake nor the renewal of the leader's lease.
 """
 
 from datetime import timedelta
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -1,7 +1,8 @@
 """Requests to the state service.
 
-Three kinds of failure are kept apart, since the rules rest on the difference: refused (certainly not executed),
-conflict (executed, conditions failed) and unknown (it may have been executed, or may be at any later time).
+Three kinds of failure are kept apart, since the rules rest on the difference: refused (certainly
+not executed), conflict (executed, conditions failed) and unknown (it may have been executed, or
+may be at any later time).
 """
 
 import asyncio
@@ -71,7 +72,9 @@
 class State:
     """Client with budgets; one for each controller."""
 
-    def __init__(self, caller: Caller, limits: StateLimits, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self, caller: Caller, limits: StateLimits, clock: Clock, rng: random.Random
+    ) -> None:
         self.caller = caller
         self.limits = limits
         self.clock = clock
@@ -89,7 +92,8 @@
         return self.failing_since is not None and self.clock.now() - self.failing_since > TROUBLE
 
     def hanging(self) -> bool:
-        """The newest failure was one without an answer, so the next request would wait in vain, too."""
+        """The newest failure was one without an answer, so the next request would wait in vain,
+        too."""
         return self.last_hung
 
     def set_share(self, share: float) -> None:
@@ -142,7 +146,8 @@
         if reply.status >= 500:
             raise UnknownError(f"status {reply.status}")
         if not path.startswith("/watch"):
-            # A watch that was open when an outage began may still end in time, so it proves nothing.
+            # A watch that was open when an outage began may still end in time, so it proves
+            # nothing.
             self.backoff = ZERO
             self.failing_since = None
             self.reached = True
@@ -232,7 +237,9 @@
         """End a lease at once, with the keys attached to it."""
         await self._call("DELETE", f"/holds/{lease}", None, Rank.LEASE)
 
-    async def watch(self, prefix: str, after: int, wait: timedelta, rank: Rank) -> tuple[list[Event], int]:
+    async def watch(
+        self, prefix: str, after: int, wait: timedelta, rank: Rank
+    ) -> tuple[list[Event], int]:
         """Changes after a revision; an empty list when nothing changed in time."""
         path = f"/watch?prefix={prefix}&from={after}&waitMs={int(wait.total_seconds() * 1000)}"
         reply = await self._call("GET", path, None, rank, wait + PATIENCE)
--- a/dappledrum/state/test_state.py
+++ b/dappledrum/state/test_state.py
@@ -80,7 +80,9 @@
 
 def test_a_404_that_is_not_the_services_proves_nothing():
     async def main():
-        state = State(Canned(Reply(404, b"<html>")), StateLimits(100, 100, 8, 24), Clock(), random.Random(1))
+        state = State(
+            Canned(Reply(404, b"<html>")), StateLimits(100, 100, 8, 24), Clock(), random.Random(1)
+        )
         with pytest.raises(UnknownError):
             await state.get("job/j-1", Rank.POLL)
         state.caller = Canned(Reply(404, b'{"tally":3}'))
--- a/dappledrum/test_main.py
+++ b/dappledrum/test_main.py
@@ -9,15 +9,20 @@
 
 def good():
     return {
-        "member": "n-0", "location": "here", "serve_on": "127.0.0.1:0", "back": "127.0.0.1:0", "seeds": [],
-        "external": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2", "news": 1}, "unheard_of": {"x": 1},
+        "member": "n-0",
+        "location": "here",
+        "serve_on": "127.0.0.1:0",
+        "back": "127.0.0.1:0",
+        "seeds": [],
+        "external": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2", "news": 1},
+        "unheard_of": {"x": 1},
         "params": {
             "teams": [{"name": "t", "cpus": 0, "cpus_max": 1.5}],
             "workers": {"report_s": 1, "lease_s": 9, "cancel_s": 30},
             "state": {"rps": 50, "write_rps": 20, "value_kb": 8, "txn_ops": 24},
             "cloud": {"rps": 1.5, "list_lag_s": 8},
         },
-    }  # fmt: skip
+    }
 
 
 def check(tmp_path, settings):
@@ -61,7 +66,12 @@
 
 
 def test_version_and_bad_flags(capsys):
-    for argv, code in ((["--version"], 0), (["--help"], 0), ([], 2), (["--config", "x", "--interval-s", "0"], 2)):
+    for argv, code in (
+        (["--version"], 0),
+        (["--help"], 0),
+        ([], 2),
+        (["--config", "x", "--interval-s", "0"], 2),
+    ):
         with pytest.raises(SystemExit) as ended:
             main(argv)
         assert ended.value.code == code
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -1,4 +1,5 @@
-"""Whole days in virtual time: every trouble of the brief, some in pairs, with all rules checked after each step."""
+"""Whole days in virtual time: every trouble of the brief, some in pairs, with all rules checked
+after each step."""
 
 import asyncio
 
@@ -93,7 +94,9 @@
 async def leader_cut_from_all(world):
     leader = world.leader()
     others = [m for m in world.members if m != leader]
-    world.cut_off(leader, "state", "cloud", *others, *("back-" + m for m in others), *world.cloud.machines)
+    world.cut_off(
+        leader, "state", "cloud", *others, *("back-" + m for m in others), *world.cloud.machines
+    )
     await world.wait(25)
 
 
@@ -142,10 +145,24 @@
 
 
 TROUBLES = [
-    quiet, leader_killed, all_killed, rolled, short_outage, long_outage, outage_and_all_killed,
-    leader_refused_in_a_wave, leader_cut_from_state, leader_cut_from_workers, leader_cut_from_all, answers_lost,
-    cloud_out, machines_hang, machines_taken, boots_stall, cut_then_killed,
-]  # fmt: skip
+    quiet,
+    leader_killed,
+    all_killed,
+    rolled,
+    short_outage,
+    long_outage,
+    outage_and_all_killed,
+    leader_refused_in_a_wave,
+    leader_cut_from_state,
+    leader_cut_from_workers,
+    leader_cut_from_all,
+    answers_lost,
+    cloud_out,
+    machines_hang,
+    machines_taken,
+    boots_stall,
+    cut_then_killed,
+]
 
 
 @pytest.mark.parametrize("trouble", TROUBLES, ids=lambda t: t.__name__)
@@ -160,7 +177,9 @@
 def test_two_troubles_at_once(seed):
     async def main():
         world = World(seed=seed)
-        pair = world.rng.sample([leader_killed, machines_hang, machines_taken, short_outage, answers_lost], 2)
+        pair = world.rng.sample(
+            [leader_killed, machines_hang, machines_taken, short_outage, answers_lost], 2
+        )
 
         async def both(world):
             for trouble in pair:
@@ -172,7 +191,8 @@
 
 
 def test_long_outage_keeps_running_work():
-    """All peers promise not to stand, so leases go on and nothing is started again (design: promises)."""
+    """All peers promise not to stand, so leases go on and nothing is started again (design:
+    promises)."""
 
     async def main():
         world = World(seed=5)
@@ -257,7 +277,9 @@
         world.rules.submitted(spec)
         began = asyncio.get_running_loop().time()
         assert await world.submit(spec, tries=1) is None
-        assert asyncio.get_running_loop().time() - began < 1.5  # of which the stand-in user waits one second
+        assert (
+            asyncio.get_running_loop().time() - began < 1.5
+        )  # of which the stand-in user waits one second
         world.state.end_outage()
         assert await world.submit(spec) == 201
 
@@ -265,7 +287,8 @@
 
 
 def test_controllers_started_during_an_outage_become_ready_after_it():
-    """Readiness once hung on the first look for the catalog: all stayed unready when only the cloud had answered it."""
+    """Readiness once hung on the first look for the catalog: all stayed unready when only the
+    cloud had answered it."""
 
     async def main():
         world = World(seed=9)
@@ -287,7 +310,8 @@
 
 
 def test_a_new_leader_does_not_rent_again_what_is_booting():
-    """The list lags, so a new leader once rented its predecessor's booting machines a second time."""
+    """The list lags, so a new leader once rented its predecessor's booting machines a second
+    time."""
 
     async def main():
         world = World(seed=10)
@@ -307,14 +331,17 @@
 
 
 def test_a_new_leader_returns_no_machine_that_has_not_found_it_yet():
-    """Machines long up but not yet heard by the new leader once passed for boots that never end."""
+    """Machines long up but not yet heard by the new leader once passed for boots that never
+    end."""
 
     async def main():
         world = World(seed=11)
         await world.until(lambda: world.leader() is not None)
         await world.submit(job(1, beats=8, dueS=30.0))
         await world.finish(["j-000001"])
-        await world.until(lambda: min(m.since for m in world.cloud.machines.values()) + 34 < loop_time())
+        await world.until(
+            lambda: min(m.since for m in world.cloud.machines.values()) + 34 < loop_time()
+        )
         names = {worker.name for worker in world.cloud.workers()}
         leader = world.leader()
         for member in world.members:
@@ -337,13 +364,17 @@
         world = World(seed=12, teams=(Team("blue"), Team("red", cpus=8.0)))
         world.cloud.most = 3
         await world.until(lambda: world.leader() is not None)
-        await world.submit(job(1, beats=60, builds=["small"], runS=60.0, expectedS=60.0, urgency="best_effort"))
+        await world.submit(
+            job(1, beats=60, builds=["small"], runS=60.0, expectedS=60.0, urgency="best_effort")
+        )
         await world.until(lambda: len(world.rules.running) >= 6)
 
         def running(name):
             return sum(job_id == name for job_id, _ in world.rules.running)
 
-        await world.submit(job(2, crew="red", builds=["small"], beats=2, urgency="best_effort", dueS=20.0))
+        await world.submit(
+            job(2, crew="red", builds=["small"], beats=2, urgency="best_effort", dueS=20.0)
+        )
         await world.until(lambda: running("j-000002") == 2, most=30)
         await world.submit(job(3, builds=["small"], beats=1, urgency="prod", dueS=20.0))
         await world.until(lambda: running("j-000003") == 1, most=30)
--- a/dappledrum/wiring.py
+++ b/dappledrum/wiring.py
@@ -13,7 +13,9 @@
 
 log = logging.getLogger(__name__)
 
-OWN_SOCKETS = 80  # kept for requests to the state service, the cloud and the peers, and for listening
+OWN_SOCKETS = (
+    80  # kept for requests to the state service, the cloud and the peers, and for listening
+)
 
 
 async def run_node(settings: Settings, tuning: Tuning) -> None:
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -1,14 +1,16 @@
 """What a report means for the records, and what the worker is told.
 
-The rules rest on two things here. A start is sent only when the record that names the attempt is stored. And an
-attempt counts as on its machine until it is proven gone, by one of:
+The rules rest on two things here. A start is sent only when the record that names the attempt is
+stored. And an attempt counts as on its machine until it is proven gone, by one of:
 
 - a report that shows it ended;
-- a report without it that carries our own token (one held back under a predecessor proves nothing) and is newer than
-  the one whose answer carried the start (the worker has dropped that answer by then);
+- a report without it that carries our own token (one held back under a predecessor proves
+  nothing) and is newer than the one whose answer carried the start (the worker has dropped that
+  answer by then);
 - a report of a newer session;
 - the cloud's word that the machine was returned;
-- silence for longer than a lease, drift included, since the last answer that anyone can have given.
+- silence for longer than a lease, drift included, since the last answer that anyone can have
+  given.
 """
 
 import logging
@@ -57,17 +59,26 @@
     # reports
 
     def take(self, report: Report) -> Machine | None:
-        """Note a report. None: it is older than what is known, or the machine is gone."""
+        """Note a report.
+
+        None: it is older than what is known, or the machine is gone.
+        """
         now = self.clock.now()
         if report.machine in self.roster.gone:
             return None
-        machine = self.roster.ensure(report.machine, Kind(report.type, report.zone, report.spot), now)
+        machine = self.roster.ensure(
+            report.machine, Kind(report.type, report.zone, report.spot), now
+        )
         if (report.session, report.sequence) <= (machine.session, machine.sequence):
             return None
         if report.session > machine.session and machine.up:
             machine.images.clear()
             log.info("%s is in session %d now", machine.name, report.session)
-        machine.session, machine.sequence, machine.token = report.session, report.sequence, report.token
+        machine.session, machine.sequence, machine.token = (
+            report.session,
+            report.sequence,
+            report.token,
+        )
         machine.last_report = now
         if not machine.up:
             machine.up_at = now
@@ -96,7 +107,11 @@
             job_id = placement.page.job.id
             if placement.session < report.session:
                 self._lost(machine, placement, "its session is over")
-            elif (job_id, placement.task, placement.attempt) in shown or placement.session > report.session:
+            elif (
+                job_id,
+                placement.task,
+                placement.attempt,
+            ) in shown or placement.session > report.session:
                 continue
             elif (
                 report.token == self.token
@@ -105,7 +120,9 @@
             ):
                 self._lost(machine, placement, "no longer there")
 
-    def _item(self, machine: Machine, job: Job, task: int, item: TaskReport, now: timedelta) -> None:
+    def _item(
+        self, machine: Machine, job: Job, task: int, item: TaskReport, now: timedelta
+    ) -> None:
         page = job.page_of(task)
         placement = machine.placements.get((job.id, task))
         if placement is not None and placement.attempt != item.attempt:
@@ -116,7 +133,9 @@
             placement.seen = True
             if item.state == TaskState.RUNNING and placement.running_at is None:
                 placement.running_at = now
-                cache = self.cache_gb.get(machine.kind.type, 1e9) if machine.kind is not None else 1e9
+                cache = (
+                    self.cache_gb.get(machine.kind.type, 1e9) if machine.kind is not None else 1e9
+                )
                 machine.remember_image(job.spec.image, job.spec.image_gb, cache)
 
     def _ended(
@@ -171,7 +190,9 @@
             self.mark(page)
 
     def _lost(self, machine: Machine, placement: Placement, why: str) -> None:
-        log.info("%s/%d on %s is gone: %s", placement.page.job.id, placement.task, machine.name, why)
+        log.info(
+            "%s/%d on %s is gone: %s", placement.page.job.id, placement.task, machine.name, why
+        )
         self._remove(machine, placement)
         self.wake("task lost")
 
@@ -180,17 +201,25 @@
     @staticmethod
     def _wanted(placement: Placement) -> bool:
         job = placement.page.job
-        return not (job.over or job.cancelled or placement.lost or placement.page.is_done(placement.task))
+        return not (
+            job.over or job.cancelled or placement.lost or placement.page.is_done(placement.task)
+        )
 
     def pending(self, machine: Machine) -> bool:
         """Whether something is about to be stored that the answer could carry."""
         return any(
-            not p.seen and p.offered_tick < 0 and p.page.saved < p.revision and p.session == machine.session
+            not p.seen
+            and p.offered_tick < 0
+            and p.page.saved < p.revision
+            and p.session == machine.session
             for p in machine.placements.values()
         )
 
     def commands(self, machine: Machine, report: Report, entitled: bool) -> list[Command]:
-        """Commands that follow from the records. Without a valid lease of our own there are none."""
+        """Commands that follow from the records.
+
+        Without a valid lease of our own there are none.
+        """
         if not entitled:
             return []
         result: list[Command] = []
@@ -230,7 +259,11 @@
             if item.state == TaskState.SAVING:
                 return None
             grace = job.spec.save_s * 1.5 + 1 if job.spec.checkpoint_s > 0 else 0.0
-            left = None if machine.recall_at is None else (machine.recall_at - self.clock.now()).total_seconds()
+            left = (
+                None
+                if machine.recall_at is None
+                else (machine.recall_at - self.clock.now()).total_seconds()
+            )
             if left is not None and left > 0:
                 grace = min(grace, left)
         return Command("stop", item.task, item.attempt, grace)
@@ -243,7 +276,9 @@
         for machine in self.roster:
             if machine.placements and machine.expired(now, self.limits.lease):
                 for placement in list(machine.placements.values()):
-                    self._lost(machine, placement, "the machine is silent for longer than its lease")
+                    self._lost(
+                        machine, placement, "the machine is silent for longer than its lease"
+                    )
 
     def returned(self, machine: Machine) -> None:
         """The cloud has confirmed that the machine, with all that was on it, is gone."""
@@ -256,7 +291,8 @@
         placement.lost = True
 
     def restore(self, job: Job) -> None:
-        """Take over the placements of a predecessor, which may have answered any worker until now."""
+        """Take over the placements of a predecessor, which may have answered any worker until
+        now."""
         now = self.clock.now()
         for placement in job.placements():
             machine = self.roster.ensure(placement.machine, None, now)
--- a/dappledrum/workers/knocks.py
+++ b/dappledrum/workers/knocks.py
@@ -1,7 +1,7 @@
 """Which machines have tried to report to this controller, entitled or not.
 
-A leader that no worker reaches, while they try elsewhere, is in the way: it keeps its lease, and all tasks are killed
-by theirs. It finds out by asking its peers who knocked there.
+A leader that no worker reaches, while they try elsewhere, is in the way: it keeps its lease, and
+all tasks are killed by theirs. It finds out by asking its peers who knocked there.
 """
 
 from collections import deque
@@ -43,8 +43,8 @@
 def shunned(elsewhere: dict[str, int], roster: Roster) -> list[str]:
     """Machines that the leader should have heard of by now.
 
-    One that has reported to this leader before, or came to the same peer twice: the first knock of a machine that has
-    just come up is answered with the leader's name, and says nothing.
+    One that has reported to this leader before, or came to the same peer twice: the first knock of
+    a machine that has just come up is answered with the leader's name, and says nothing.
     """
     result = []
     for name, count in elsewhere.items():
--- a/dappledrum/workers/messages.py
+++ b/dappledrum/workers/messages.py
@@ -33,8 +33,14 @@
     UNKNOWN = "unknown"
 
 
-class TaskReport(msgspec.Struct, rename={"task": "beat", "attempt": "take", "state": "stance", "saved": "stored"}):
-    """One task in a report. States and causes stay plain text: an unknown one must not spoil the report."""
+class TaskReport(
+    msgspec.Struct,
+    rename={"task": "beat", "attempt": "take", "state": "stance", "saved": "stored"},
+):
+    """One task in a report.
+
+    States and causes stay plain text: an unknown one must not spoil the report.
+    """
 
     task: Text
     attempt: Count
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -18,7 +18,9 @@
 
     def __init__(self, name: str, kind: Kind | None, now: timedelta) -> None:
         self.name = name
-        self.kind = kind  # None until somebody says: a placement by a predecessor names only the zone
+        self.kind = (
+            kind  # None until somebody says: a placement by a predecessor names only the zone
+        )
         self.rented_at = now
         self.seen_at = now  # first time that this leader heard of it
         self.up_at: timedelta | None = None
@@ -26,7 +28,8 @@
         self.sequence = -1
         self.token = 0
         self.last_report: timedelta | None = None
-        # The last moment at which the worker may have been answered, by this leader or by one before it.
+        # The last moment at which the worker may have been answered, by this leader or by one
+        # before it.
         self.last_answer = now
         self.recall_at: timedelta | None = None
         self.images: OrderedDict[str, float] = OrderedDict()
@@ -45,17 +48,26 @@
         return self.up_at is not None
 
     def expired(self, now: timedelta, lease: timedelta) -> bool:
-        """The worker has certainly given up its session: no answer can have reached it for longer than a lease."""
-        # A machine that has just come up may not have been answered at all: what counts then is that it was heard.
-        heard = self.last_answer if self.last_report is None else max(self.last_answer, self.last_report)
+        """The worker has certainly given up its session: no answer can have reached it for longer
+        than a lease."""
+        # A machine that has just come up may not have been answered at all: what counts then is
+        # that it was heard.
+        heard = (
+            self.last_answer
+            if self.last_report is None
+            else max(self.last_answer, self.last_report)
+        )
         return now > heard + longer(lease) + GONE_MARGIN
 
     def silent(self, now: timedelta, report: timedelta) -> bool:
         """Reports are missing, so nothing new should be put there."""
-        return self.last_report is None or now - self.last_report > report * 2 + timedelta(seconds=2)
+        return self.last_report is None or now - self.last_report > report * 2 + timedelta(
+            seconds=2
+        )
 
     def remember_image(self, image: str, size_gb: float, cache_gb: float) -> None:
-        """The machine has fetched an image, and may have dropped the least recently used ones for it."""
+        """The machine has fetched an image, and may have dropped the least recently used ones for
+        it."""
         self.images[image] = size_gb
         self.images.move_to_end(image)
         while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
--- a/dappledrum/workers/test_bookkeeping.py
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -22,7 +22,8 @@
 
 
 class Desk:
-    """A bookkeeper with one job, whose first task is placed on machine m in session 1 and stored."""
+    """A bookkeeper with one job, whose first task is placed on machine m in session 1 and
+    stored."""
 
     def __init__(self):
         spec = {key: value for key, value in job(1).items() if key != "runS"}
@@ -50,8 +51,12 @@
 
     def report(self, sequence, *tasks, session=1, token=TOKEN):
         """Take a report and return the answer's commands."""
-        items = [TaskReport("j-000001/0", attempt, state, cause) for attempt, state, cause in tasks]
-        report = Report("m", "10.1.0.1:1", "small", "a", True, session, sequence, token, None, items)
+        items = [
+            TaskReport("j-000001/0", attempt, state, cause) for attempt, state, cause in tasks
+        ]
+        report = Report(
+            "m", "10.1.0.1:1", "small", "a", True, session, sequence, token, None, items
+        )
         machine = self.books.take(report)
         if machine is None:
             return None
@@ -78,7 +83,9 @@
         assert desk.report(2) == []
         desk.save()
         assert desk.report(3) == [("start", 1)]
-        assert desk.report(4) == [("start", 1)]  # the answer may have been lost; the same attempt can be repeated
+        assert desk.report(4) == [
+            ("start", 1)
+        ]  # the answer may have been lost; the same attempt can be repeated
         assert desk.report(5, RUNNING) == []
 
     case(check)
@@ -240,7 +247,8 @@
 
 
 def test_who_should_have_been_heard_of():
-    """A first knock elsewhere of a machine that has just come up made leaders resign for nothing."""
+    """A first knock elsewhere of a machine that has just come up made leaders resign for
+    nothing."""
 
     def check(desk):
         assert shunned({"new": 1}, desk.roster) == []
@@ -251,7 +259,8 @@
 
 
 def test_a_machine_that_boots_for_longer_than_a_lease_is_not_silent():
-    """Its first tasks were given up, or the machine was returned, in the moment between its report and the answer."""
+    """Its first tasks were given up, or the machine was returned, in the moment between its report
+    and the answer."""
 
     async def main():
         desk = Desk()
@@ -262,6 +271,8 @@
         placement = desk.page.place(1, "slow", 1, "a", datetime.now(UTC))
         machine.placements[(desk.job.id, 1)] = placement
         desk.books.sweep()
-        assert 1 in desk.page.places and not machine.expired(desk.books.clock.now(), desk.books.limits.lease)
+        assert 1 in desk.page.places and not machine.expired(
+            desk.books.clock.now(), desk.books.limits.lease
+        )
 
     run(main())
