--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -287,10 +287,11 @@
     # what the plan changes
 
     def _preempt(self, job: Job, bag: Bag, late: int, now: timedelta) -> None:
-        """Make room for what would be late: a team's guarantee against borrowers, high urgency
-        against lower."""
+        """Make room for what would be late: a team's guarantee against borrowers, `prod`
+        against lower urgency."""
         guaranteed = self.guaranteed
-        if job.id not in guaranteed and RANKS[job.spec.priority] > RANKS[Priority.HIGH]:
+        # High urgency may stop lower work, too, but what it gained the stopped work lost twice.
+        if job.id not in guaranteed and job.spec.priority is not Priority.PRODUCTION:
             return
         # Stopping takes a report to be told, and one to be seen.
         if now + self.params.workers.report * 2 + bag.run > bag.due and job.id not in guaranteed:
