Revert: no ordinary machine that would idle for most of its first interval

Dear machines cost by staying, not by being rented: 4 honka lived 193 s on average and made 0.83 of 1.52.

--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 EPSILON = 1e-6
-LEAST_USE = 0.25  # of an ordinary machine's first interval, where spot machines would do
 
 
 class Size(NamedTuple):
@@ -81,7 +80,6 @@
         self.ready_at = ready_at
         self.rented_at = rented_at
         self.hourly = hourly
-        self.capacity = free
         self.hourly_cpu = hourly / max(free.cpus, 1e-3)
         self.fetch_gb_per_s = fetch_gb_per_s
         self.interval = interval
@@ -91,10 +89,6 @@
         self.images: dict[str, timedelta] = {}  # when each image is there
         self.planned = 0
 
-    def worth(self, size: Size) -> timedelta:
-        """Run time of tasks of this size that makes it worth to rent the machine."""
-        return self.interval * self.capacity.times(size) * LEAST_USE
-
     def copy(self) -> "Lanes":
         """An independent copy to try things on."""
         other = Lanes.__new__(Lanes)
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -221,7 +221,7 @@
         best: tuple[tuple[int, timedelta, float], _Trial] | None = None
         tried = min(count, TRIED)
         for kind in kinds:
-            trial = self._worthwhile(bag, kind, tried)
+            trial = self._try(bag, kind, tried)
             if trial.placed == 0:
                 continue
             late = max(trial.overrun, ZERO)
@@ -254,19 +254,7 @@
             else:
                 self._commit(bag, lanes, gap, number)
 
-    def _worthwhile(self, bag: Bag, kind: Kind, count: int) -> "_Trial":
-        """Algorithm 2 for one kind, with as many new machines as are put to some use.
-
-        Where the bag could use spot machines, an ordinary one that would idle for most of its
-        first interval costs many times what the work is worth.
-        """
-        trial = self._try(bag, kind, count)
-        if kind.spot or not trial.new or not bag.allowed(kind._replace(spot=True)):
-            return trial
-        used = sum(lanes.planned * bag.run >= lanes.worth(bag.size) for lanes in trial.new)
-        return trial if used == len(trial.new) else self._try(bag, kind, count, used)
-
-    def _try(self, bag: Bag, kind: Kind, count: int, most: int | None = None) -> "_Trial":
+    def _try(self, bag: Bag, kind: Kind, count: int) -> "_Trial":
         """Spread the tasks over machines of one kind: the cheapest lane in time, else the earliest
         finish."""
         trial = _Trial()
@@ -281,7 +269,6 @@
         ]
         room = self._cap(bag, kind.zone, count)
         more = offer.most if offer is not None else 0
-        more = more if most is None else min(more, most)
         blank = self._blank(offer) if offer is not None else None
         fresh_gap = (
             blank.earliest(bag.size, bag.run, bag.image, bag.image_gb)
