Answers to workers stay under 64 KiB; totals of jobs of several pages follow in their head

A machine with a thousand small tasks would have got an answer longer than the protocol allows, and polls of jobs of more than 256 tasks showed the first page's progress only. Tests for both.

--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -238,7 +238,7 @@
         else:
             assert found is not None
             record, _ = found
-            running = sum(len(row[3]) for row in record.page.places)
+            running = record.running
             state = Outcome.RUNNING if running else Outcome.QUEUED
             body = Answer(
                 job, Outcome.CANCELLED if record.cancelled else state, record.done, running
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -131,6 +131,7 @@
     page: PageRecord
     cancelled: bool = False
     done: int = 0  # tasks done in all pages
+    running: int = 0  # tasks on machines in all pages
 
 
 class EndedRecord(msgspec.Struct):
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -255,7 +255,9 @@
         """Stored form of the head."""
         at_ms = round(self.accepted_at.timestamp() * 1000)
         page = self.page(0).to_record()
-        return JobRecord(self.spec, at_ms, self.page_size, page, self.cancelled, self.done)
+        return JobRecord(
+            self.spec, at_ms, self.page_size, page, self.cancelled, self.done, self.on_machines()
+        )
 
     def ended_record(self) -> EndedRecord:
         """Stored form of the job when it is over."""
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -52,6 +52,10 @@
             self.ending[job] = None
         elif page.dirty:
             self.dirty[page] = None
+            if page.index > 0:
+                # Users are answered from the head, so its totals follow.
+                job.page(0).touch()
+                self.dirty[job.page(0)] = None
         self.wake.set()
 
     async def run(self) -> None:
--- a/dappledrum/jobs/test_intake.py
+++ b/dappledrum/jobs/test_intake.py
@@ -116,6 +116,8 @@
                 leader.leader.recorder.mark(page)
                 facts.done.update(range(page.first, page.first + page.count))
         await world.until(lambda: len(leader.leader.recorder.dirty) < 8)
+        reply = await world._ask("GET", "/submissions/j-000001")
+        assert reply is not None and json.loads(reply.body)["done"] > 90_000
         await world.restart(world.leader())
         await world.finish(["j-000001", "j-000002"], most=600)
 
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 MACHINE_ERRORS = 3
+MOST_COMMANDS = 400
 RETRY = timedelta(seconds=2)
 RETRY_MOST = timedelta(seconds=60)
 
@@ -225,7 +226,7 @@
         result: list[Command] = []
         active: set[tuple[str, int]] = set()
         for item in report.tasks:
-            command = self._for_item(machine, item)
+            command = self._for_item(machine, item) if len(result) < MOST_COMMANDS else None
             if command is not None:
                 result.append(command)
             active.add((item.task, item.attempt))
@@ -233,6 +234,8 @@
             task = f"{placement.page.job.id}/{placement.task}"
             if (task, placement.attempt) in active or placement.session != report.session:
                 continue
+            if len(result) >= MOST_COMMANDS:
+                break  # no line of an answer may be longer than 64 KiB; the rest comes next time
             # Write ahead: the worker hears of an attempt only when its record is stored.
             if self._wanted(placement) and placement.page.saved >= placement.revision:
                 placement.offered_tick = max(placement.offered_tick, report.sequence)
--- a/dappledrum/workers/test_bookkeeping.py
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -276,3 +276,21 @@
         )
 
     run(main())
+
+
+def test_an_answer_stays_short():
+    def check(desk):
+        machine = desk.roster.get("m")
+        big = Job(JobRecord(desk.job.spec, 0, 5000, PageRecord()), 1)
+        page = big.page(0)
+        page.count = 5000
+        for task in range(1000):
+            placement = page.place(task, "m", 1, "a", datetime.now(UTC))
+            machine.placements[(big.id, task)] = placement
+        page.saved = page.revision
+        report = Report("m", "10.1.0.1:1", "small", "a", True, 1, 2, TOKEN)
+        desk.books.take(report)
+        first = desk.books.commands(machine, report, True)
+        assert len(first) == 400 and len(msgspec.json.encode(first)) < 64 * 1024
+
+    case(check)
