--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -135,6 +135,40 @@
     world.cloud.stalled = 0.0
 
 
+async def cloud_requests_arrive_late(world):
+    """Rentals and returns are held back, and executed under the next leader."""
+    leader = world.leader()
+    world.cut_off(leader, "cloud")
+    await world.submit(job(800, beats=12, dueS=40.0))
+    await world.wait(15)
+    world.kill(leader)
+    await world.wait(8)
+    world.network.heal()
+    world.start(leader)
+    await world.wait(5)
+
+
+async def transactions_arrive_late(world):
+    """The leader's writes are held back until another one leads, then all arrive."""
+    leader = world.leader()
+    world.cut_off(leader, "state")
+    await world.wait(8)
+    assert world.leader() not in (None, leader)
+    world.network.heal()
+    assert world.network.late > 0
+    await world.wait(5)
+
+
+async def reports_arrive_late(world):
+    """Reports are held back, their machines start anew, then the old reports arrive."""
+    for name in list(world.cloud.machines)[:3]:
+        for member in world.members:
+            world.network.cut(name, member)
+    await world.wait(15)
+    world.network.heal()
+    await world.wait(5)
+
+
 async def cut_then_killed(world):
     leader = world.leader()
     for name in list(world.cloud.machines):
@@ -162,6 +196,9 @@
     machines_taken,
     boots_stall,
     cut_then_killed,
+    cloud_requests_arrive_late,
+    transactions_arrive_late,
+    reports_arrive_late,
 ]
 
 
@@ -381,3 +418,24 @@
         assert not world.rules.broken
 
     run(main())
+
+
+def test_a_surge_with_wrong_estimates_and_many_images_stays_within_the_rates():
+    """Every owner is wrong by three times, every job brings an image of its own."""
+
+    async def main():
+        world = World(seed=13)
+        await world.until(lambda: world.leader() is not None)
+        writes, began = world.state.writes, loop_time()
+        names = []
+        for number in range(40):
+            spec = job(
+                number, skin=f"img-{number}", expectedS=2.0 if number % 2 else 18.0, dueS=60.0
+            )
+            names.append(spec["id"])
+            assert await world.submit(spec) == 201
+        await world.finish(names, most=400)
+        rate = (world.state.writes - writes) / (loop_time() - began)
+        assert rate < world.params.state.write_rps
+
+    run(main())
