Ends of single tasks wait up to two seconds for the record while starts need the rate

Change: pages with new placements go first and alone, others when half of the rate is free or after 2 s; the ends of jobs keep their place. Expected: starts wait for one transaction instead of a queue of them.

--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -25,6 +25,8 @@
 log = logging.getLogger(__name__)
 
 GATHER = timedelta(milliseconds=15)  # changes that come together are written together
+LAZY = timedelta(seconds=2)  # the most that ends of tasks wait while starts need the rate
+LOOK = timedelta(milliseconds=100)
 
 
 class Recorder:
@@ -35,7 +37,7 @@
         self.term = term
         self.limits = limits
         self.clock = clock
-        self.dirty: dict[Page, None] = {}
+        self.dirty: dict[Page, timedelta] = {}  # since when
         self.ending: dict[Job, None] = {}
         self.garbage: OrderedDict[str, None] = OrderedDict()
         self.wake = asyncio.Event()
@@ -51,11 +53,12 @@
         if job.complete() or (job.cancelled and not job.on_machines()):
             self.ending[job] = None
         elif page.dirty:
-            self.dirty[page] = None
+            now = self.clock.now()
+            self.dirty.setdefault(page, now)
             if page.index > 0:
                 # Users are answered from the head, so its totals follow.
                 job.page(0).touch()
-                self.dirty[job.page(0)] = None
+                self.dirty.setdefault(job.page(0), now)
         self.wake.set()
 
     async def run(self) -> None:
@@ -66,7 +69,8 @@
             await asyncio.sleep(GATHER.total_seconds())
             while (self.dirty or self.ending or self.garbage) and not self.term.over.is_set():
                 try:
-                    await self._flush()
+                    if not await self._flush():
+                        await self._pause()
                 except StateError as error:
                     log.info("progress not written yet: %s", error)
                     await asyncio.sleep(0.1)
@@ -74,28 +78,50 @@
                     log.exception("writing progress failed, going on")
                     await asyncio.sleep(0.5)
 
-    async def _flush(self) -> None:
+    async def _pause(self) -> None:
+        """Until something changes, or what waits has waited a little longer."""
+        try:
+            async with asyncio.timeout(LOOK.total_seconds()):
+                await self.wake.wait()
+            await asyncio.sleep(GATHER.total_seconds())
+        except TimeoutError:
+            pass
+        self.wake.clear()
+
+    async def _flush(self) -> bool:
+        """Write what is most urgent; False when all that is left had better wait.
+
+        Workers wait for the records of starts, and users for a job's end. Ends of single tasks
+        only accumulate: written with each of them, a hundred live jobs would use up the rate of
+        changes, and every start would queue behind them.
+        """
         room = self._room()
         if not self.dirty and not self.ending:
             await self._collect(room)
-            return
+            return True
+        now = self.clock.now()
+        urgent = [p for p, since in self.dirty.items() if p.starts > p.saved or now - since > LAZY]
+        urgent.sort(key=lambda page: page.starts <= page.saved)
+        spare = min(room, int(self.state.writes.level - 0.5 * self.state.writes.size))
+        hurried = set(urgent)
+        lazy = [page for page in self.dirty if page not in hurried][: max(0, spare)]
         pages: list[Page] = []
         jobs: list[Job] = []
         for job in list(self.ending):
             if room >= 2 and await self._certain(job.page(0)):
                 jobs.append(job)
                 room -= 2
-        urgent = sorted(
-            self.dirty, key=lambda p: all(q.revision <= p.saved for q in p.places.values())
-        )
-        for page in urgent:
+                if urgent and len(jobs) * 4 >= self.limits.txn_ops:
+                    break
+        for page in urgent + lazy:
             if page.job.over or page.job in self.ending:
-                del self.dirty[page]
+                self.dirty.pop(page, None)
             elif room >= 1 and await self._certain(page):
                 pages.append(page)
                 room -= 1
         if pages or jobs:
             await self._write(pages, jobs)
+        return bool(pages or jobs)
 
     def _room(self) -> int:
         """Number of changes for the next transaction: what the rate allows now, but always a
@@ -137,8 +163,9 @@
         for page, stored in written:
             page.version = max(page.version, revision)
             page.saved = max(page.saved, stored)
-            if not page.dirty:
-                self.dirty.pop(page, None)
+            self.dirty.pop(page, None)
+            if page.dirty:
+                self.dirty[page] = self.clock.now()
         for job in jobs:
             self._ended(job)
         await self._tell()
