--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -200,6 +200,7 @@
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
             held=held,
+            waited=max(self.clock.today() - job.accepted_at, ZERO),
             thrifty=missed,
         )
 
--- a/dappledrum/model/dds.py
+++ b/dappledrum/model/dds.py
@@ -79,10 +79,12 @@
     length: float,
     now: float,
     due: float,
+    waited: float = 0.0,
 ) -> list[tuple[str, float]]:
     """Algorithm 1 for one bag: the placements, as machine and start.
 
-    A task that would wait and be late is left out.
+    A task that would wait and be late is left out; one that has waited is expected to wait as long
+    again, unless the machine boots.
     """
     placed = []
     for _ in range(count):
@@ -90,7 +92,10 @@
         for index, machine in enumerate(machines):
             room = machine.room(cpus, run)
             paid_until = machine.rented + machine.intervals(machine.committed(), length) * length
-            if room is None or (room[0] > now and room[1] > due):
+            if room is None:
+                continue
+            again = waited if machine.ready <= now else 0.0
+            if room[0] > now and room[1] + again > due:
                 continue
             if room[1] <= paid_until + 1e-9:
                 options.append(
@@ -112,6 +117,8 @@
     count: int,
     due: float,
     length: float,
+    now: float,
+    waited: float = 0.0,
 ) -> tuple[str, int, float, float] | None:
     """Algorithm 2 for one bag: the kind chosen, machines to rent, added cost and worst overrun."""
     best: tuple[tuple[int, float, float], str, int, float, float] | None = None
@@ -129,19 +136,22 @@
                 room = machine.room(cpus, run)
                 if room is None:
                     continue
-                added = machine.cost(room[1], length)
                 new = index >= len(mine)
-                key = (0, added, machine.rented) if room[1] <= due else (1, room[1], added)
+                again = waited if room[0] > now >= machine.ready else 0.0
+                likely = room[1] + again
+                added = machine.cost(room[1], length)
+                key = (0, added, machine.rented) if likely <= due else (1, likely, added)
                 scored.append((key, new, index, room))
             if not scored:
                 break
             _, new, index, (start, finish) = min(scored)
             chosen = candidates[index]
+            again = waited if start > now >= chosen.ready else 0.0
             if new:
                 mine.append(chosen)
                 rented += 1
             cost += chosen.cost(finish, length)
-            worst = max(worst, finish - due)
+            worst = max(worst, finish + again - due)
             chosen.take(start, finish, cpus)
             done += 1
         if done:
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -46,6 +46,7 @@
     zone_room: dict[str, int] | None = None  # spread: how many more tasks each zone may take
     team: str = ""
     held: bool = False  # placed only, nothing is rented for it
+    waited: timedelta = ZERO  # since the job was accepted
     thrifty: bool = False  # too late anyway: only the cheaper kind of machine is rented for it
 
 
@@ -253,7 +254,19 @@
         after its own: a task that would both wait and be late is left to Algorithm 2, which can
         rent.
         """
-        return (start <= self.now or finish <= bag.due) and finish <= lanes.billed_until()
+        in_time = start <= self.now or self._likely(bag, lanes, start, finish) <= bag.due
+        return in_time and finish <= lanes.billed_until()
+
+    def _likely(self, bag: Bag, lanes: Lanes, start: timedelta, finish: timedelta) -> timedelta:
+        """When a task will probably finish that is planned on a machine from then to then.
+
+        In the paper a task keeps its place in a machine's queue. Here whatever comes later and is
+        more urgent takes the room that becomes free, so a task that was put off again and again
+        always saw room in a moment, and nothing was rented for it. What has waited for some time
+        is expected to wait for that time again, unless the room is there now, or is on a machine
+        that boots.
+        """
+        return finish if start <= self.now or lanes.booting else finish + bag.waited
 
     def _rent(self, bag: Bag, count: int) -> None:
         """Algorithm 2: the single type with the least worst overrun, then the least added cost."""
@@ -278,7 +291,11 @@
             return
         trial = best[1]
         late = (
-            sum(number for _, gap, number, _ in trial.steps if gap.finish > bag.due)
+            sum(
+                number
+                for lanes, gap, number, _ in trial.steps
+                if self._likely(bag, lanes, gap.start, gap.finish) > bag.due
+            )
             + tried
             - trial.placed
         )
@@ -325,7 +342,9 @@
         if blank is not None:
             fresh_gap = blank.earliest(bag.size, bag.run, bag.image, bag.image_gb)
             if fresh_gap is not None:
-                fresh_score = self._score(bag, blank, fresh_gap.finish, True, following)
+                fresh_score = self._score(
+                    bag, blank, fresh_gap.start, fresh_gap.finish, following, unrented=True
+                )
         while trial.placed < room:
             # In time, any machine may be the cheapest; too late, the first with room comes first.
             while at < len(rows):
@@ -337,10 +356,10 @@
                 ):
                     break
                 lanes = self.lanes[rows[at][1]]
-                _, finish = lanes.bound(
+                start, finish = lanes.bound(
                     bag.size, bag.run, bag.image, fetch.time(lanes.fetch_gb_per_s)
                 )
-                heappush(heap, (self._score(bag, lanes, finish, False, lanes.index), lanes, None))
+                heappush(heap, (self._score(bag, lanes, start, finish, lanes.index), lanes, None))
                 at += 1
             if more > 0 and fresh_score is not None and (not heap or fresh_score < heap[0][0]):
                 assert offer is not None and fresh_gap is not None
@@ -367,7 +386,8 @@
             else:
                 break
             number = min(gap.count, room - trial.placed)
-            trial.overrun = max(trial.overrun, gap.finish - bag.due)
+            likely = self._likely(bag, lanes, gap.start, gap.finish)
+            trial.overrun = max(trial.overrun, likely - bag.due)
             trial.steps.append((target, gap, number, fresh))
             trial.placed += number
             if best is not None and (0, *trial.worth(), order) > best:
@@ -392,10 +412,17 @@
         if gap is None:
             heappop(heap)
         else:
-            heapreplace(heap, (self._score(bag, lanes, gap.finish, False, index), target, gap))
+            score = self._score(bag, lanes, gap.start, gap.finish, index)
+            heapreplace(heap, (score, target, gap))
 
     def _score(
-        self, bag: Bag, lanes: Lanes, finish: timedelta, unrented: bool, index: int
+        self,
+        bag: Bag,
+        lanes: Lanes,
+        start: timedelta,
+        finish: timedelta,
+        index: int,
+        unrented: bool = False,
     ) -> "_Score":
         """In time: by cost, then age of the rental.
 
@@ -403,9 +430,10 @@
         gives a bound on the score.
         """
         cost = lanes.added_cost(finish, fresh=unrented)
-        if finish <= bag.due:
+        likely = self._likely(bag, lanes, start, finish)
+        if likely <= bag.due:
             return 0, cost, lanes.rented_at.total_seconds(), unrented, index
-        return 1, finish.total_seconds(), cost, unrented, index
+        return 1, likely.total_seconds(), cost, unrented, index
 
     def _blank(self, offer: Offer) -> Lanes:
         """A machine that would be rented now.
--- a/dappledrum/scheduling/test_plan.py
+++ b/dappledrum/scheduling/test_plan.py
@@ -31,7 +31,13 @@
     ),
     max_size=7,
 )
-bags = st.tuples(st.integers(1, 4), st.integers(1, 130), st.integers(1, 9), st.integers(5, 300))
+bags = st.tuples(
+    st.integers(1, 4),  # CPUs
+    st.integers(1, 130),  # run
+    st.integers(1, 9),  # tasks
+    st.integers(5, 300),  # due
+    st.sampled_from([0, 20, 100]),  # waited
+)
 SHAPES = {"p": (4.0, 0.4, 20), "q": (8.0, 1.0, 35)}  # CPUs, hourly, boot
 
 
@@ -114,9 +120,20 @@
     plain, real = build(rows)
     expected = []
     asked = []
-    for index, (cpus, run, count, due) in enumerate(drawn):
-        expected += fill(plain, cpus, run, count, LENGTH, NOW, NOW + due)
-        asked.append(bag_of(cpus, run, count, due, id=str(index), rank=(index,), held=True))
+    for index, (cpus, run, count, due, waited) in enumerate(drawn):
+        expected += fill(plain, cpus, run, count, LENGTH, NOW, NOW + due, waited)
+        asked.append(
+            bag_of(
+                cpus,
+                run,
+                count,
+                due,
+                id=str(index),
+                rank=(index,),
+                held=True,
+                waited=seconds(waited),
+            )
+        )
     plan = planner(real).run(asked)
     starts = Counter()
     for _, name, number in plan.starts:
@@ -131,12 +148,14 @@
 @settings(max_examples=250, derandomize=True, deadline=None)
 @given(machines, bags, st.integers(0, 6))
 def test_renting_is_algorithm_2(rows, bag, most):
-    cpus, run, count, due = bag
+    cpus, run, count, due, waited = bag
     plain, real = build(rows)
     blanks, offers = offers_of(most)
-    left = count - len(fill(plain, cpus, run, count, LENGTH, NOW, NOW + due))
-    expected = rent(plain, blanks, cpus, run, left, NOW + due, LENGTH) if left else None
-    plan = planner(real, offers).run([bag_of(cpus, run, count, due)])
+    left = count - len(fill(plain, cpus, run, count, LENGTH, NOW, NOW + due, waited))
+    expected = (
+        rent(plain, blanks, cpus, run, left, NOW + due, LENGTH, NOW, waited) if left else None
+    )
+    plan = planner(real, offers).run([bag_of(cpus, run, count, due, waited=seconds(waited))])
     rented = {kind.type: number for kind, number in plan.rentals.items()}
     if expected is None:
         assert not rented
