Answers to idle workers are held for most of a report's time; plans pause for less

Change: hold for 0.85 of a report's time, at most 2.6 s; pause three times a plan's length instead of six, as the leader uses a tenth of a core.

--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -34,14 +34,17 @@
 PAGES = "page/"
 TIMER = timedelta(seconds=1)  # stalled boots and overruns wake nobody, so the clock does
 GATHER = timedelta(milliseconds=100)
-LOAD = 6  # a plan is followed by a pause of at least this many times its own duration
+LOAD = 3  # a plan is followed by a pause of at least this many times its own duration
 WATCH_GAP = timedelta(milliseconds=150)
 HOLD = timedelta(
     milliseconds=400
 )  # the most that an answer to a worker waits for a record that it could carry
 PLAN_TIME = timedelta(milliseconds=250)
+# Reports of an idle worker come a report's time apart, however late the answer: held for most of
+# that time, it can nearly always be given work at once.
+IDLE_SHARE = 0.85
 IDLE_MOST = timedelta(
-    seconds=1.8
+    seconds=2.6
 )  # well within the 4 s after which a worker turns to another controller
 KEPT_OVER = 10_000
 
@@ -305,7 +308,7 @@
             if self.woken.is_set():
                 patience = PLAN_TIME
             if not machine.placements:
-                patience = min(self.params.workers.report * 0.6, IDLE_MOST)
+                patience = min(self.params.workers.report * IDLE_SHARE, IDLE_MOST)
             machine.given.clear()
             if patience <= ZERO or not await self._happens(machine.given.wait(), patience):
                 return
