--- a/dappledrum/jobs/test_intake.py
+++ b/dappledrum/jobs/test_intake.py
@@ -154,6 +154,36 @@
     )
 
 
+def numbered(index: int) -> str:
+    return f"host-{100_000 + 37 * index}"
+
+
+def test_all_tasks_of_a_page_can_be_on_machines_of_their_own():
+    """Guards against tasks that wait though machines are free, as their record would not fit: rows
+    with whole names did not for more than a hundred of the 256."""
+    spec = {key: value for key, value in job(7, beats=256).items() if key != "runS"}
+    page = Job(
+        JobRecord(msgspec.convert(spec, Spec), 1_700_000_000_000, 256, PageRecord()), 1
+    ).page(0)
+    now = datetime.fromtimestamp(1_700_000_999, UTC)
+    for task in range(240):
+        bound = page.size_bound(numbered(task), now)
+        assert bound <= 8 * 1024
+        page.place(task, numbered(task), 1, "keskusta", now)
+        assert len(msgspec.json.encode(page.job.head_record())) <= bound
+
+
+def test_records_of_earlier_versions_are_read():
+    """Guards against an upgrade that can't read the live jobs, and so runs their tasks twice."""
+    spec = {key: value for key, value in job(7).items() if key != "runS"}
+    old = [9, "1", [["host-1", 2, "a", [[1, 5, 30], [2, 6, 31]]]]]
+    record = {"spec": spec, "at_ms": 1_700_000_000_000, "size": 256, "page": old}
+    live = Job(msgspec.json.decode(json.dumps(record).encode(), type=JobRecord), 3)
+    rows = {(p.task, p.machine, p.session, p.zone, p.attempt) for p in live.placements()}
+    assert rows == {(1, "host-1", 2, "a", 5), (2, "host-1", 2, "a", 6)}
+    assert (live.done, live.page(0).attempt) == (1, 9)
+
+
 def test_types_learned_while_a_submission_waits_do_not_turn_it_into_a_refusal():
     """The catalog came in between the verdict and the answer, and a good job got 422 for ever."""
 
--- /dev/null
+++ b/dappledrum/jobs/test_recorder.py
@@ -0,0 +1,65 @@
+"""What is written first when the rate does not allow for everything."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+
+from dappledrum.clock import Clock
+from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record import Job
+from dappledrum.jobs.recorder import LAZY, Recorder
+from dappledrum.leadership.elector import Term
+from dappledrum.settings import StateLimits
+from dappledrum.standins.time import run
+from dappledrum.standins.world import job
+from dappledrum.state.budget import Budget
+
+
+class Slow:
+    """A state service that takes every transaction, with a budget that is nearly used up."""
+
+    def __init__(self, clock):
+        self.writes = Budget(20.0, clock.now())
+        self.writes.take(14, clock.now())
+        self.clock = clock
+        self.written = []
+
+    async def commit(self, guards, changes, rank):
+        self.writes.take(len(changes), self.clock.now())
+        self.written.append((self.clock.now(), [change.key for change in changes]))
+        return 100 + len(self.written)
+
+
+def live(number):
+    spec = {key: value for key, value in job(number).items() if key != "runS"}
+    return Job(JobRecord(msgspec.convert(spec, Spec), 1_700_000_000_000, 256, PageRecord()), 1)
+
+
+def test_starts_do_not_queue_behind_ends_of_tasks():
+    """Guards against writing every end of a task at once: with a hundred live jobs that took the
+    whole rate, and a start waited seconds for its record."""
+
+    async def main():
+        clock = Clock()
+        state = Slow(clock)
+        recorder = Recorder(state, Term(1, 1, 1), StateLimits(100, 20, 8, 24), clock)
+        jobs = [live(number) for number in range(12)]
+        for one in jobs[:-1]:
+            one.page(0).finish(0)
+            recorder.mark(one.page(0))
+        jobs[-1].page(0).place(0, "host-1", 1, "a", clock.today())
+        recorder.mark(jobs[-1].page(0))
+        writing = asyncio.create_task(recorder.run())
+        began = clock.now()
+        await asyncio.sleep(0.05)
+        assert [keys for _, keys in state.written] == [["job/j-000011"]]
+        await asyncio.sleep((LAZY * 2).total_seconds())
+        writing.cancel()
+        assert sorted(key for _, keys in state.written for key in keys) == sorted(
+            f"job/{one.id}" for one in jobs
+        )
+        assert all(at - began < LAZY + timedelta(seconds=1) for at, _ in state.written)
+        assert not recorder.dirty
+
+    run(main())
--- /dev/null
+++ b/dappledrum/test_large.py
@@ -0,0 +1,49 @@
+"""Five controllers and hundreds of machines: the same rules, and bounded work."""
+
+import pytest
+
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+from dappledrum.test_world import leader_killed, rolled, short_outage
+
+FIVE = tuple(f"drummer-{index}" for index in range(5))
+
+
+async def wave(world):
+    """A third of the spot machines go at once."""
+    for name in [m.name for m in world.cloud.machines.values() if m.kind[2]][::3]:
+        world.cloud.take(name)
+    await world.wait(5)
+
+
+async def wave_and_leader_killed(world):
+    await wave(world)
+    await leader_killed(world)
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [leader_killed, rolled, short_outage, wave_and_leader_killed],
+    ids=lambda f: f.__name__,
+)
+def test_a_large_day(trouble):
+    """Guards, at size, against plans that hold up the renewal of the leader's lease, records that
+    do not fit, and takeovers that lose or repeat tasks."""
+
+    async def main():
+        world = World(seed=5, members=FIVE)
+        world.cloud.most = 240
+        await world.until(lambda: world.leader() is not None)
+        names = []
+        for number in range(12):
+            spec = job(
+                number, beats=70, runS=10.0, expectedS=10.0, dueS=40.0, skin=f"i-{number % 3}"
+            )
+            names.append(spec["id"])
+            assert await world.submit(spec) == 201
+        await world.until(lambda: world.rules.starts >= 300)
+        assert len(world.cloud.machines) > 100
+        await trouble(world)
+        await world.finish(names)
+
+    run(main())
