--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -26,6 +26,8 @@
 MOST_READY = 2_000  # tasks of one job that a plan looks at
 TURN = timedelta(milliseconds=15)  # of planning, before others get theirs
 NO_LIMIT = 1e18
+HEADROOM = 0.1  # share of the spot machines that stays free when ordinary ones are let go
+SWAPPED = 0.1  # share of the fleet for which cheaper machines are rented at a time
 MOST_STOPPED = 16  # tasks of one job that one plan makes room for
 OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
 
@@ -92,6 +94,8 @@
         for bag in bags:
             if bag.id in plan.late and not bag.held and not bag.thrifty and bag.id in self.jobs:
                 self._preempt(self.jobs[bag.id], bag, plan.late[bag.id], now)
+        if self.keeper.listed:
+            self._cheapen(plan, lanes)
         # Before the first list nobody knows what a predecessor has rented.
         self.keeper.order(plan.rentals if self.keeper.listed else {}, plan.needed, now)
         return plan
@@ -301,6 +305,50 @@
 
     # what the plan changes
 
+    def _cheapen(self, plan: Plan, lanes: list[Lanes]) -> None:
+        """Replace busy ordinary machines by spot machines of their type and zone.
+
+        A large machine is never idle at the end of an interval while small tasks come and go, so
+        the ordinary machines of one bad moment stayed for the day. In calm times spot machines
+        are rented beside them, and where those have as much room as an ordinary machine, and some
+        to spare, it gets no new work. When anything would be late, all machines are used.
+        """
+        retiring = [machine for machine in self.roster if machine.retiring]
+        if plan.late or any(not job.spec.spot for job in self.jobs.values()):
+            for machine in retiring:
+                machine.retiring = False
+            return
+        by_kind: dict[Kind, list[Lanes]] = {}
+        for view in lanes:
+            by_kind.setdefault(view.kind, []).append(view)
+        for kind, own in by_kind.items():
+            model = self.keeper.types.get(kind.type)
+            cheaper = kind._replace(spot=True)
+            if kind.spot or model is None or model.spot_price is None or model.cpus <= 0:
+                continue
+            if model.spot_price >= model.price:
+                continue
+            others = by_kind.get(cheaper, [])
+            room = sum(view.free[0].cpus for view in others if not view.booting)
+            room -= model.cpus * len(others) * HEADROOM
+            room -= model.cpus * sum(machine.kind == kind for machine in retiring)
+            candidates = [
+                machine
+                for view in own
+                if not view.booting
+                and (machine := self.roster.get(view.machine)) is not None
+                and all(p.page.job.spec.form is Form.ARRAY for p in machine.placements.values())
+            ]
+            candidates.sort(key=lambda machine: len(machine.placements))
+            spare = min(len(candidates), max(0, int(room // model.cpus)))
+            for machine in candidates[:spare]:
+                log.info("%s gets no new work: spot machines have room for it", machine.name)
+                machine.retiring = True
+            left = len(candidates) - spare
+            calm = not plan.rentals and not any(view.booting for view in others)
+            if left and calm and self.keeper.offered(cheaper):
+                plan.rentals[cheaper] = min(left, max(1, int(len(lanes) * SWAPPED)))
+
     def _preempt(self, job: Job, bag: Bag, late: int, now: timedelta) -> None:
         """Make room for what would be late: a team's guarantee against borrowers, `prod`
         against lower urgency."""
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -213,6 +213,8 @@
             return "it is silent"
         if machine.draining and machine.up:
             return "it is unhealthy"
+        if machine.retiring and machine.up:
+            return "a cheaper one has taken its place"
         if not machine.up or not self.planned or machine.name in self.needed:
             return None
         interval = self.interval(machine.kind) if machine.kind is not None else self.base_interval
--- a/dappledrum/test_large.py
+++ b/dappledrum/test_large.py
@@ -47,3 +47,28 @@
         await world.finish(names)
 
     run(main())
+
+
+def test_ordinary_machines_give_way_to_spot_machines_in_calm_times():
+    """Guards against ordinary machines that stay for the day, as small tasks keep them from being
+    idle at the end of an interval."""
+
+    async def main():
+        world = World(seed=6)
+        world.cloud.most = 3
+        ordinary = [world.cloud.add(("large", "a", False)) for _ in range(3)]
+        await world.until(lambda: world.leader() is not None)
+        names = []
+        for number in range(60):
+            spec = job(number, builds=["large"], beats=6, runS=7.0, expectedS=7.0, dueS=18.0)
+            names.append(spec["id"])
+            assert await world.submit(spec) == 201
+            await world.wait(2)
+            if number == 20:
+                assert all(name in world.cloud.machines for name in ordinary)
+                world.cloud.most = 40
+        assert not any(name in world.cloud.machines for name in ordinary)
+        assert any(machine.kind[2] for machine in world.cloud.machines.values())
+        await world.finish(names)
+
+    run(main())
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -37,6 +37,7 @@
         self.returning = False
         self.draining = False
         self.failed = False
+        self.retiring = False  # a cheaper machine has taken its place; no new work
         self.errors = 0
         self.blocked_until = timedelta(0)
         self.listed_at: timedelta | None = None
@@ -50,7 +51,7 @@
     @property
     def usable(self) -> bool:
         """Nothing speaks against putting something there."""
-        return not (self.returning or self.draining or self.failed)
+        return not (self.returning or self.draining or self.failed or self.retiring)
 
     def expired(self, now: timedelta, lease: timedelta) -> bool:
         """The worker has certainly given up its session: no answer can have reached it for longer
