A broken job and a faulty machine are told apart across jobs and machines

Cause: three failures of one broken job that came in one report drained a sound machine, and a held job's probes went before late work. Whose fault a failure is now follows from the jobs that fail on a machine and the machines that a job fails on; a job of which nothing has succeeded is suspected after two machines, and has one probe at a time. Excluded: counting failures by machine alone (a broken array always reaches three there).

--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -18,6 +18,7 @@
 from dappledrum.scheduling.plan import Bag, Offer, Plan, Planner, TeamRoom
 from dappledrum.scheduling.preempt import Host, Victim, choose
 from dappledrum.settings import Params
+from dappledrum.workers.failures import suspected
 from dappledrum.workers.roster import Machine, Roster
 
 log = logging.getLogger(__name__)
@@ -171,7 +172,9 @@
         ready = min(job.waiting(), MOST_READY)
         if ready <= 0 or job.cancelled or job.over or now < job.retry_at:
             return None
-        held = len(job.errors) >= 3
+        held = suspected(job)
+        if held and any(not p.lost for p in job.placements()):
+            return None  # what runs already will tell
         run = self.task_time(job)
         own = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
         limits = stage_deadlines(self.params.objectives, spec.job_class, own, run)
@@ -199,7 +202,7 @@
             image=spec.image,
             image_gb=spec.image_gb,
             allowed=self._allowed(job, zones if spec.one_zone else set()),
-            rank=self._rank(job, missed, due - run),
+            rank=self._rank(job, missed or held, due - run),
             one_zone=spec.one_zone and not zones,
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -22,14 +22,15 @@
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.settings import WorkerLimits
+from dappledrum.workers.failures import Verdict, failed, judge, suspected
 from dappledrum.workers.messages import Cause, Command, Report, TaskReport, TaskState
 from dappledrum.workers.roster import Machine, Roster
 
 log = logging.getLogger(__name__)
 
-MACHINE_ERRORS = 3
 MOST_COMMANDS = 400
 RETRY = timedelta(seconds=2)
+DOUBT = timedelta(seconds=5)  # a machine is left out while its failures are tried elsewhere
 RETRY_MOST = timedelta(seconds=60)
 
 
@@ -151,8 +152,7 @@
     ) -> None:
         if item.cause == Cause.DONE and not page.is_done(task):
             page.finish(task)
-            machine.errors = 0
-            job.errors.clear()
+            self._success(machine, job, now)
             if placement is not None and placement.running_at is not None:
                 took = now - placement.running_at
                 self.estimates.learn(job.id, job.spec.job_class, job.spec.estimate, took)
@@ -169,19 +169,43 @@
             self.wake("task ended")
         self.mark(page)
 
+    def _success(self, machine: Machine, job: Job, now: timedelta) -> None:
+        """A task has completed, which clears both, and tells on the machines where only its job
+        had failed so far."""
+        machine.errors.clear()
+        if not job.errors:
+            return
+        if suspected(job):
+            log.warning("%s no longer fails everywhere", job.id)
+        elsewhere = [m for name in job.errors if (m := self.roster.get(name)) is not None]
+        job.errors.clear()
+        for other in elsewhere:
+            if other is not machine:
+                self._doubt(other, now)
+
     def _failure(self, machine: Machine, job: Job, now: timedelta) -> None:
         """A task failed: either the machine is faulty, or the job fails everywhere."""
-        job.errors[machine.name] = job.errors.get(machine.name, 0) + 1
-        if len(job.errors) >= 3:
+        before = suspected(job)
+        failed(job, machine)
+        if suspected(job):
             # Machines that others are content with: it is the job. Try again, ever more rarely.
             tries = sum(job.errors.values())
             job.retry_at = now + min(RETRY * 2 ** min(tries // 3, 6), RETRY_MOST)
-            log.warning("%s fails on %d machines, next try later", job.id, len(job.errors))
+            if not before:
+                log.warning(
+                    "%s fails on %d machines, tried rarely from now on", job.id, len(job.errors)
+                )
         else:
-            machine.errors += 1
-            if machine.errors >= MACHINE_ERRORS and not machine.draining:
-                machine.draining = True
-                log.warning("%s fails again and again, draining it", machine.name)
+            self._doubt(machine, now)
+
+    def _doubt(self, machine: Machine, now: timedelta) -> None:
+        verdict = judge(machine, self.jobs)
+        if verdict is Verdict.FAULTY and not machine.draining:
+            machine.draining = True
+            log.warning("%s fails again and again, draining it", machine.name)
+        elif verdict is Verdict.DOUBTFUL:
+            # Elsewhere the same tasks will show whether it is the machine or the job.
+            machine.blocked_until = max(machine.blocked_until, now + DOUBT)
 
     def _remove(self, machine: Machine, placement: Placement) -> None:
         machine.placements.pop((placement.page.job.id, placement.task), None)
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -38,7 +38,7 @@
         self.draining = False
         self.failed = False
         self.retiring = False  # a cheaper machine has taken its place; no new work
-        self.errors = 0
+        self.errors: dict[str, int] = {}  # failures by job, since the last success
         self.blocked_until = timedelta(0)
         self.listed_at: timedelta | None = None
         self.given = asyncio.Event()  # something was placed there
--- /dev/null
+++ b/dappledrum/workers/test_failures.py
@@ -0,0 +1,74 @@
+"""A broken job and a faulty machine are told apart by failures across jobs and machines."""
+
+import msgspec
+
+from dappledrum.clock import ZERO
+from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record import Job
+from dappledrum.scheduling.lanes import Kind
+from dappledrum.standins.world import job
+from dappledrum.workers.failures import Verdict, failed, judge, suspected
+from dappledrum.workers.roster import Machine
+
+
+def made(number, done=0):
+    spec = {key: value for key, value in job(number).items() if key != "runS"}
+    result = Job(JobRecord(msgspec.convert(spec, Spec), 0, 256, PageRecord()), 1)
+    for task in range(done):
+        result.page(0).finish(task)
+    return result
+
+
+def machine(name):
+    return Machine(name, Kind("small", "a", True), ZERO)
+
+
+def table(*jobs):
+    return {one.id: one for one in jobs}
+
+
+def test_a_broken_job_drains_no_machine_however_many_of_its_tasks_fail_in_one_report():
+    """Three failures of one job on one machine once drained it."""
+    broken = made(1)
+    machines = [machine(f"m{n}") for n in range(4)]
+    for _ in range(8):
+        failed(broken, machines[0])
+    assert judge(machines[0], table(broken)) is Verdict.DOUBTFUL
+    failed(broken, machines[1])
+    assert suspected(broken)
+    for one in machines[2:]:
+        for _ in range(5):
+            failed(broken, one)
+    assert all(judge(one, table(broken)) is Verdict.SOUND for one in machines)
+
+
+def test_a_machine_on_which_several_jobs_fail_is_faulty():
+    jobs = [made(number) for number in range(3)]
+    bad = machine("m")
+    for one in jobs:
+        failed(one, bad)
+    assert judge(bad, table(*jobs)) is Verdict.FAULTY
+
+
+def test_a_machine_is_faulty_for_one_job_that_succeeds_elsewhere():
+    proven = made(1, done=1)
+    bad = machine("m")
+    for _ in range(3):
+        failed(proven, bad)
+    assert judge(bad, table(proven)) is Verdict.FAULTY
+
+
+def test_broken_jobs_do_not_make_a_machine_faulty_together():
+    jobs = [made(number) for number in range(4)]
+    machines = [machine("m"), machine("n")]
+    for one in jobs:
+        for where in machines:
+            failed(one, where)
+    assert all(judge(where, table(*jobs)) is Verdict.SOUND for where in machines)
+
+
+def test_a_sound_job_with_a_few_failing_tasks_is_not_suspected():
+    sound = made(1, done=1)
+    for name in ("m", "n"):
+        failed(sound, machine(name))
+    assert not suspected(sound)
