Boots are learned by type, zone and kind; nothing rests on the usual lag of lists

Cause: boots were given up after three times the catalog's figure, so while all were slow every machine was returned and rented again together; a machine that no list had shown in three lags was dropped for good, and paid for unnoticed. Expected boots now come from those that were seen and those still unfinished; a boot that later ones have overtaken is given up, and while none comes up one at a time.

--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -121,7 +121,7 @@
             machine.silent(now, self.params.workers.report) or now < machine.blocked_until
         ):
             return None
-        if not machine.up and (self.keeper.overdue(machine) or machine.placements):
+        if not machine.up and machine.placements:
             return None
         ready_at = now if machine.up else self.keeper.ready_at(machine)
         until = None if machine.recall_at is None else machine.recall_at - timedelta(seconds=1)
@@ -254,7 +254,7 @@
                     if (spot and model.spot_price is None) or not self.keeper.offered(kind):
                         continue
                     capacity = Size(model.cpus, model.gpus, model.memory_gb)
-                    boot = model.boot * 1.25
+                    boot = self.keeper.boots.expected(kind)
                     result.append(
                         Offer(
                             kind,
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from dappledrum.clock import ZERO, Clock
+from dappledrum.fleet.boots import Boots, Waiting
 from dappledrum.fleet.cloud import Cloud, CloudError, NoCapacityError
 from dappledrum.fleet.messages import ListedMachine, MachineType, RentalRequest
 from dappledrum.scheduling.lanes import Kind
@@ -20,9 +21,9 @@
 RETURN_MOST = 100
 ASIDE = timedelta(seconds=8)
 ASIDE_MOST = timedelta(seconds=30)
-BOOT_FACTOR = 1.25  # boots take 0.6 to 1.5 times the nominal time
-OVERDUE_FACTOR = 3.0
-OVERDUE_FLOOR = timedelta(seconds=20)
+SLOW = 2.0  # times the catalog's figure, from which on slow boots are worth a line
+SLOW_NO_MORE = 1.5
+INTRODUCED = timedelta(seconds=20)  # beyond a lease: machines report to a new leader by then
 
 
 class Keeper:
@@ -49,6 +50,8 @@
         self.base_interval = interval
         self.leading = leading
         self.wake = wake
+        self.boots = Boots()
+        self.slow: set[Kind] = set()  # kinds that boot slowly, once said
         self.types: dict[str, MachineType] = {}
         self.wanted: dict[Kind, int] = {}  # from the newest plan
         self.needed: set[str] = set()  # machines that the newest plan counts on
@@ -72,32 +75,53 @@
         """Length of a billed interval of a machine: not so short that it goes back just to be
         booted again."""
         model = self.types.get(kind.type)
-        return (
-            self.base_interval
-            if model is None
-            else max(self.base_interval, model.boot * BOOTS_IN_INTERVAL)
-        )
+        if model is None:
+            return self.base_interval
+        boot = model.boot * self.boots.ratio(kind)
+        return max(self.base_interval, boot * BOOTS_IN_INTERVAL)
 
     def ready_at(self, machine: Machine) -> timedelta:
         """When a booting machine is expected to be up."""
-        boot = self._boot(machine)
         now = self.clock.now()
-        expected = machine.rented_at + boot * BOOT_FACTOR
-        return expected if expected > now else now + boot * 0.3
-
-    def _boot(self, machine: Machine) -> timedelta:
-        kind = self.types.get(machine.kind.type) if machine.kind is not None else None
-        return kind.boot if kind is not None else timedelta(seconds=60)
+        if machine.kind is None:
+            return now + self.base_interval
+        return now + self.boots.left(machine.kind, machine.rented_at, now)
 
     def overdue(self, machine: Machine) -> bool:
-        """The machine should have been up long ago, and may never come up."""
-        boot = self._boot(machine)
-        limit = max(boot * OVERDUE_FACTOR, boot + OVERDUE_FLOOR)
+        """A new machine is expected to be up sooner than this one, which may never come up."""
         now = self.clock.now()
         # A new leader hears of machines that have long been up; give them the time to report to
         # it.
-        introduced = now - machine.seen_at > self.params.workers.lease + OVERDUE_FLOOR
-        return not machine.up and introduced and now - machine.rented_at > limit
+        introduced = now - machine.seen_at > self.params.workers.lease + INTRODUCED
+        return (
+            not machine.up
+            and machine.kind is not None
+            and introduced
+            and self.boots.hopeless(machine.kind, machine.rented_at, now)
+        )
+
+    def look_at_boots(self) -> None:
+        """Learn from the boots that are over, and from those that should be."""
+        now = self.clock.now()
+        self.boots.nominal = {name: model.boot for name, model in self.types.items()}
+        waiting = []
+        for machine in self.roster:
+            if machine.kind is None:
+                continue
+            if machine.up_at is not None and machine.asked_at is not None:
+                self.boots.finished(machine.kind, machine.asked_at, machine.up_at)
+                machine.asked_at = None
+            elif not machine.up and not machine.returning:
+                waiting.append(Waiting(machine.name, machine.kind, machine.rented_at))
+        self.boots.refresh(waiting, now)
+        for kind in {one.kind for one in waiting}:
+            ratio = self.boots.ratio(kind)
+            if ratio > SLOW and kind not in self.slow:
+                log.warning("boots of %s take %.1f times as long as usual", kind, ratio)
+                self.slow.add(kind)
+        for kind in [k for k in self.slow if self.boots.ratio(k) < SLOW_NO_MORE]:
+            log.warning("boots of %s take as long as usual again", kind)
+            self.slow.discard(kind)
 
     def order(self, rentals: dict[Kind, int], needed: set[str], began: timedelta) -> None:
         """Replace what is wanted by a newer plan.
@@ -153,7 +177,10 @@
         log.info("rented %d of %d %s (%s)", len(names), count, kind, ", ".join(names))
         for name in names:
             if name not in self.roster.gone:
-                self.roster.ensure(name, kind, sent).rented_at = sent
+                machine = self.roster.ensure(name, kind, sent)
+                machine.rented_at = sent
+                if not machine.up:
+                    machine.asked_at = sent
         if len(names) < count:
             self._set_aside(kind)
         else:
@@ -174,11 +201,14 @@
             await asyncio.sleep(0.5)
             if not self.leading():
                 continue
+            self.look_at_boots()
             for machine in self.roster:
                 why = None if machine.returning else self._why_return(machine)
                 if why is not None:
                     log.info("returning %s: %s", machine.name, why)
                     machine.returning = True
+                    if not machine.up:
+                        self.boots.given_up(self.clock.now())
             names = [m.name for m in self.roster if m.returning][:RETURN_MOST]
             if names:
                 try:
@@ -203,7 +233,7 @@
         if machine.placements:
             return None
         if self.overdue(machine):
-            return "it does not come up"
+            return "it does not come up, and a new one is expected sooner"
         lease = self.params.workers.lease
         if (
             machine.up
@@ -262,9 +292,15 @@
         for machine in self.roster:
             known = machine.listed_at if machine.listed_at is not None else machine.rented_at
             unheard = machine.last_report is None or now - machine.last_report > stale
-            if not machine.placements and now - known > stale and unheard:
-                log.info("%s is not in the list any more", machine.name)
-                self.roster.drop(machine.name)
+            if machine.returning or machine.placements or now - known <= stale or not unheard:
+                continue
+            if machine.listed_at is None and not machine.up:
+                continue  # it may yet be listed, however far the list lags; see `overdue`
+            # The list may lag by more than ever, so only the cloud's own word that the name is
+            # returned says that it is gone: dropped on its absence alone, a machine would be paid
+            # for and never be used.
+            log.info("returning %s: it is not in the list any more", machine.name)
+            machine.returning = True
 
     async def catalog_loop(self) -> None:
         """Keep the prices current."""
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -23,6 +23,7 @@
         )
         self.rented_at = now
         self.seen_at = now  # first time that this leader heard of it
+        self.asked_at: timedelta | None = None  # by this leader, until its boot is evaluated
         self.up_at: timedelta | None = None
         self.session = 0
         self.sequence = -1
