Polls share reads: one comparing transaction answers for all that wait; followers may burst

What was read is kept with its version, and a transaction that only compares tells whether it still holds.

--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -5,7 +5,6 @@
 another, so each answer rests on a read that began after its request came in.
 """
 
-import asyncio
 import logging
 from collections import OrderedDict
 from datetime import timedelta
@@ -26,6 +25,7 @@
     PageRecord,
     Spec,
 )
+from dappledrum.jobs.polls import Found, Polls, Seen, seen
 from dappledrum.jobs.record import PAGE, ended_key, head_key
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
@@ -36,7 +36,6 @@
 
 READ_PATIENCE = timedelta(seconds=1)
 KEPT = 20_000
-Found = tuple[JobRecord, int] | EndedRecord | None
 
 T = TypeVar("T")
 
@@ -91,7 +90,7 @@
         self.clock = clock
         self.types: list[MachineType] | None = None
         self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
-        self._polls: dict[str, asyncio.Task[Found]] = {}
+        self.polls = Polls(state, params.state.txn_ops * 4, self.find, self._find_many)
 
     def remember(self, job: str, record: EndedRecord) -> None:
         """Keep a final state; it never changes again."""
@@ -139,7 +138,10 @@
         record = JobRecord(spec, round(self.clock.today().timestamp() * 1000), PAGE, page)
         guards = [Guard(head_key(spec.id), 0), Guard(ended_key(spec.id), 0)]
         try:
-            await self.state.commit(guards, [Put(head_key(spec.id), raw(record))], Rank.INTAKE)
+            put = Put(head_key(spec.id), raw(record))
+            self.polls.note(
+                spec.id, seen(record), await self.state.commit(guards, [put], Rank.INTAKE)
+            )
         except ConflictError:
             found = await self.find(spec.id, Rank.INTAKE)
             return busy() if found is None else self._present(spec.id, found, HTTPStatus.OK)
@@ -154,7 +156,7 @@
         if known is not None:
             return self._present(job, known, HTTPStatus.OK)
         try:
-            found = await self._shared(job)
+            found = await self.polls.ask(job)
         except StateError as error:
             log.debug("poll of %s not answered: %s", job, error)
             return busy()
@@ -162,24 +164,6 @@
             return refusal(HTTPStatus.NOT_FOUND, "no such job")
         return self._present(job, found, HTTPStatus.OK)
 
-    async def _shared(self, job: str) -> Found:
-        """One read for all polls that were waiting when it began."""
-        running = self._polls.get(job)
-        if running is not None:
-            # That read began before this request, so only the next one will do; those who wait
-            # share it.
-            await asyncio.wait([running])
-            again = self._polls.get(job)
-            if again is not None and again is not running:
-                return await asyncio.shield(again)
-        task = asyncio.get_running_loop().create_task(self.find(job, Rank.POLL))
-        self._polls[job] = task
-        try:
-            return await asyncio.shield(task)
-        finally:
-            if self._polls.get(job) is task:
-                del self._polls[job]
-
     async def cancel(self, job: str) -> Response:
         """POST /submissions/{id}/cancel."""
         try:
@@ -223,6 +207,15 @@
         self.remember(job, record)
         return record
 
+    async def _find_many(self, jobs: set[str]) -> dict[str, tuple[JobRecord, int]]:
+        """Those of the jobs that are live, from one look at all live ones."""
+        entries, _ = await self.state.scan(head_key(""), Rank.POLL)
+        return {
+            job: (self._decode(entry.value, JobRecord), entry.version)
+            for entry in entries
+            if (job := entry.key.removeprefix(head_key(""))) in jobs
+        }
+
     @staticmethod
     def _decode(value: msgspec.Raw, kind: type[T]) -> T:
         try:
@@ -230,18 +223,19 @@
         except msgspec.DecodeError as error:
             raise StateError(f"unusable record: {error}") from error
 
-    def _present(self, job: str, found: Found, status: int, brief: bool = False) -> Response:
+    def _present(
+        self, job: str, found: Found | Seen, status: int, brief: bool = False
+    ) -> Response:
         if isinstance(found, EndedRecord):
             body = Answer(
                 job, found.state, found.tasks if found.state is Outcome.DONE else None, 0
             )
         else:
             assert found is not None
-            record, _ = found
-            running = record.running
-            state = Outcome.RUNNING if running else Outcome.QUEUED
+            live = found if isinstance(found, Seen) else seen(found[0])
+            state = Outcome.RUNNING if live.running else Outcome.QUEUED
             body = Answer(
-                job, Outcome.CANCELLED if record.cancelled else state, record.done, running
+                job, Outcome.CANCELLED if live.cancelled else state, live.done, live.running
             )
         if brief:
             body = Answer(job, body.state)
--- /dev/null
+++ b/dappledrum/jobs/polls.py
@@ -0,0 +1,167 @@
+"""Answers to polls, many from one read.
+
+With a swarm of small jobs there are more polls than the state service takes requests. What a
+controller has read before is kept with its version, and one transaction that only compares says
+for dozens of jobs at once whether that still holds. It begins after the polls that it answers
+came in, so nobody is told anything older than what another controller has said.
+"""
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from dappledrum.jobs.messages import EndedRecord, JobRecord
+from dappledrum.jobs.record import head_key
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import ConflictError, RefusedError, State, StateError
+from dappledrum.state.messages import Guard
+
+log = logging.getLogger(__name__)
+
+KEPT = 4_000  # live jobs of which the newest reading is kept
+GATHER = timedelta(milliseconds=10)  # polls that come together are read together
+PATIENCE = timedelta(seconds=1)
+AT_ONCE = 3  # readings on their way: one that hangs must not hold up all others
+SINGLE = 4  # up to so many jobs are read one by one, more from the list of all live ones
+
+
+class Seen(NamedTuple):
+    """What users are told of a live job."""
+
+    cancelled: bool
+    done: int
+    running: int
+
+
+Found = tuple[JobRecord, int] | EndedRecord | None
+Told = Seen | EndedRecord | None
+
+
+def seen(record: JobRecord) -> Seen:
+    """The part of a record that users are told."""
+    return Seen(record.cancelled, record.done, record.running)
+
+
+class Polls:
+    """Waiting polls, and what is known of live jobs."""
+
+    def __init__(
+        self,
+        state: State,
+        most_guards: int,
+        find: Callable[[str, Rank], Awaitable[Found]],
+        find_many: Callable[[set[str]], Awaitable[dict[str, tuple[JobRecord, int]]]],
+    ) -> None:
+        self.state = state
+        self.most_guards = most_guards
+        self.find = find
+        self.find_many = find_many
+        self.known: OrderedDict[str, tuple[Seen, int]] = OrderedDict()
+        self.waiting: dict[str, asyncio.Future[Told]] = {}
+        self.running: set[asyncio.Task[None]] = set()
+        self.starter: asyncio.Task[None] | None = None
+
+    def note(self, job: str, found: Seen, version: int) -> None:
+        """Keep what a read or an own write has shown."""
+        before = self.known.get(job)
+        if before is None or before[1] <= version:
+            self.known[job] = (found, version)
+            self.known.move_to_end(job)
+            while len(self.known) > KEPT:
+                self.known.popitem(last=False)
+
+    async def ask(self, job: str) -> Told:
+        """State of a job, from a reading that begins after this call."""
+        wait = self.state.busy_for(Rank.POLL)
+        if wait > PATIENCE / 2 or len(self.waiting) > KEPT:
+            raise RefusedError("over the share of requests")
+        answer = self.waiting.get(job)
+        if answer is None:
+            answer = self.waiting[job] = asyncio.get_running_loop().create_future()
+        if self.starter is None:
+            self.starter = asyncio.get_running_loop().create_task(self._start())
+        return await asyncio.shield(answer)
+
+    async def _start(self) -> None:
+        """Begin readings for as long as polls wait."""
+        try:
+            while self.waiting:
+                pause = max(GATHER, min(self.state.busy_for(Rank.POLL), PATIENCE / 2))
+                await asyncio.sleep(pause.total_seconds())
+                if len(self.running) >= AT_ONCE:
+                    await asyncio.wait(self.running, return_when=asyncio.FIRST_COMPLETED)
+                batch = {}
+                for job in list(self.waiting)[: self.most_guards]:
+                    batch[job] = self.waiting.pop(job)
+                task = asyncio.get_running_loop().create_task(self._answer(batch))
+                self.running.add(task)
+                task.add_done_callback(self.running.discard)
+        finally:
+            self.starter = None
+
+    async def _answer(self, batch: dict[str, asyncio.Future[Told]]) -> None:
+        try:
+            found = await self._read(set(batch))
+            for job, answer in batch.items():
+                if not answer.done():
+                    value = found[job]
+                    if isinstance(value, Exception):
+                        answer.set_exception(value)
+                    else:
+                        answer.set_result(value)
+        except Exception as error:  # those who wait must hear of whatever went wrong
+            if not isinstance(error, StateError):
+                log.exception("reading for polls failed, going on")
+            for answer in batch.values():
+                if not answer.done():
+                    answer.set_exception(StateError(str(error)))
+        for answer in batch.values():
+            answer.exception()  # whoever asked may have gone
+
+    async def _read(self, jobs: set[str]) -> dict[str, Told | StateError]:
+        held = await self._unchanged({job for job in jobs if job in self.known})
+        result: dict[str, Told | StateError] = dict(held)
+        missing = jobs - held.keys()
+        if len(missing) > SINGLE:
+            for job, (record, version) in (await self.find_many(missing)).items():
+                result[job] = seen(record)
+                self.note(job, seen(record), version)
+            missing -= result.keys()
+        found = await asyncio.gather(*(self._single(job) for job in missing))
+        result.update(zip(missing, found, strict=True))
+        return result
+
+    async def _unchanged(self, jobs: set[str]) -> dict[str, Seen]:
+        """Those of the known jobs that are still as they were known."""
+        if len(jobs) < 2:
+            return {}  # a read costs no more, and tells what has changed, too
+        claims = {job: self.known[job] for job in jobs}
+        guards = [Guard(head_key(job), version) for job, (_, version) in claims.items()]
+        try:
+            await self.state.commit(guards, [], Rank.POLL, PATIENCE)
+            failed: set[str] = set()
+        except ConflictError as error:
+            failed = set(error.failed)
+            if not failed:
+                return {}
+        result = {}
+        for job, (found, version) in claims.items():
+            if head_key(job) not in failed:
+                result[job] = found
+            elif self.known.get(job, (found, version))[1] <= version:
+                self.known.pop(job, None)
+        return result
+
+    async def _single(self, job: str) -> Told | StateError:
+        try:
+            found = await self.find(job, Rank.POLL)
+        except StateError as error:
+            return error
+        if isinstance(found, tuple):
+            record, version = found
+            self.note(job, seen(record), version)
+            return seen(record)
+        return found
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -44,6 +44,7 @@
 
 CATALOG = "catalog"
 LEADER_SHARE = 0.6
+FOLLOWER_BURST = 2.0  # seconds
 RELAY_TIME = timedelta(milliseconds=900)
 KNOCK_TIME = timedelta(seconds=10)
 AVOID = timedelta(seconds=20)
@@ -97,7 +98,9 @@
             if self.elector.term is not None
             else (1 - LEADER_SHARE) / others
         )
-        self.state.set_share(share * 0.95)
+        # A follower's share is small, and submissions come in clusters; those of all followers
+        # rarely come at once.
+        self.state.set_share(share * 0.95, 1.0 if share >= LEADER_SHARE else FOLLOWER_BURST)
 
     def _leadership_changed(self) -> None:
         self._set_share()
--- a/dappledrum/state/budget.py
+++ b/dappledrum/state/budget.py
@@ -24,7 +24,7 @@
 
 
 class Budget:
-    """One bucket that holds a second's worth."""
+    """One bucket that holds a second's worth, or a burst of some seconds."""
 
     def __init__(self, rate: float, now: timedelta) -> None:
         self.rate = rate
@@ -37,11 +37,11 @@
             self.level = min(self.size, self.level + (now - self.at).total_seconds() * self.rate)
         self.at = now
 
-    def resize(self, rate: float, now: timedelta) -> None:
+    def resize(self, rate: float, now: timedelta, burst: float = 1.0) -> None:
         """Change the share, as when leadership comes or goes."""
         self._fill(now)
         self.rate = rate
-        self.size = max(rate, 1.0)
+        self.size = max(rate * burst, 1.0)
         self.level = min(self.level, self.size)
 
     def wait(self, amount: float, rank: Rank, now: timedelta) -> timedelta:
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -96,11 +96,12 @@
         too."""
         return self.last_hung
 
-    def set_share(self, share: float) -> None:
-        """Change the part of the service's rates that this controller may use."""
+    def set_share(self, share: float, burst: float = 1.0) -> None:
+        """Change the part of the service's rates that this controller may use, and the seconds'
+        worth of it that may go out at once."""
         now = self.clock.now()
-        self.requests.resize(self.limits.rps * share, now)
-        self.writes.resize(self.limits.write_rps * share, now)
+        self.requests.resize(self.limits.rps * share, now, burst)
+        self.writes.resize(self.limits.write_rps * share, now, burst)
 
     def busy_for(self, rank: Rank, writes: int = 0) -> timedelta:
         """How long a request of this rank would have to wait; zero means that it can go now."""
