--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -30,6 +31,9 @@
 HEADROOM = 0.1  # share of the spot machines that stays free when ordinary ones are let go
 SWAPPED = 0.1  # share of the fleet for which cheaper machines are rented at a time
 MOST_STOPPED = 16  # tasks of one job that one plan makes room for
+SMALL = 4  # tasks of a job that may share a bag with others
+ALIKE = 1.3  # factor up to which run times count as alike
+RECORDS_AHEAD = 1.0  # seconds' worth of changes that starts of low urgency may queue up
 OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
 
 
@@ -54,6 +58,7 @@
         clock: Clock,
         tuning: Tuning,
         mark: Callable[[Page], None],
+        backlog: Callable[[], int] = lambda: 0,
     ) -> None:
         self.jobs = jobs
         self.roster = roster
@@ -63,6 +68,8 @@
         self.clock = clock
         self.tuning = tuning
         self.mark = mark
+        self.backlog = backlog
+        self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
         self.guaranteed: set[str] = set()
         self.moments: dict[str, tuple[timedelta, timedelta]] = {}  # for one plan
 
@@ -78,7 +85,7 @@
         lanes = [
             view for machine in self.roster if (view := self._lanes(machine, now)) is not None
         ]
-        bags = [bag for job in self._in_order() if (bag := self._bag(job, now)) is not None]
+        bags = self._bags(now)
         planner = Planner(
             now, lanes, self._offers(), self.tuning.ready_share, TeamRoom(self._team_room())
         )
@@ -87,7 +94,7 @@
         placed = 0
         for _ in planner.steps(bags):
             for bag, name, count in plan.starts[placed:]:
-                self._place(bag, name, count)
+                self._place_some(bag, name, count)
             placed = len(plan.starts)
             if self.clock.now() - turn > TURN:
                 await asyncio.sleep(0)
@@ -167,6 +174,42 @@
         left = mean + deviation - (now - placement.running_at)
         return now + max(left, deviation / 2, timedelta(seconds=1))
 
+    def _bags(self, now: timedelta) -> list[Bag]:
+        """Ready work; very small jobs that are alike make one bag.
+
+        A plan looks at all machines for each bag, so hundreds of jobs of one task each took
+        seconds, though to the paper they are one bag of tasks.
+        """
+        self.members = {}
+        result: list[Bag] = []
+        groups: dict[tuple[Hashable, ...], Bag] = {}
+        for job in self._in_order():
+            bag = self._bag(job, now)
+            if bag is None:
+                continue
+            spec = job.spec
+            if spec.tasks > SMALL or bag.held or spec.one_zone or spec.spread:
+                result.append(bag)
+                continue
+            likeness = (
+                *(spec.team, spec.priority, spec.image, spec.spot, spec.zone, spec.form),
+                *(None if spec.types is None else tuple(spec.types), bag.size, *bag.rank[:3]),
+                round(math.log(max(bag.run.total_seconds(), 0.1), ALIKE)),
+                int(bag.due / max(bag.run * (ALIKE - 1), timedelta(seconds=5))),
+            )
+            first = groups.setdefault(likeness, bag)
+            self.members.setdefault(first.id, []).append(job)
+            if first is bag:
+                result.append(bag)
+                continue
+            first.ready += bag.ready
+            first.total += bag.total
+            first.run = max(first.run, bag.run)
+            first.due = min(first.due, bag.due)
+            first.rank = min(first.rank, bag.rank)
+            first.waited = max(first.waited, bag.waited)
+        return result
+
     def _bag(self, job: Job, now: timedelta) -> Bag | None:
         spec = job.spec
         ready = min(job.waiting(), MOST_READY)
@@ -402,14 +445,29 @@
             and other.spec.team != job.spec.team
         )
 
-    def _place(self, job_id: str, name: str, count: int) -> None:
-        """Count tasks as on a machine, if both are still as they were when the plan began."""
+    def _place_some(self, bag: str, name: str, count: int) -> None:
+        """Place tasks of a bag, which may be those of several jobs."""
+        members = self.members.get(bag)
+        if members is None:
+            self._place(bag, name, count)
+            return
+        while members and count > 0:
+            count -= self._place(members[0].id, name, count)
+            if count > 0 or members[0].waiting() <= 0:
+                members.pop(0)
+
+    def _place(self, job_id: str, name: str, count: int) -> int:
+        """Count tasks as on a machine, if both are still as they were when the plan began;
+        returns how many."""
         job = self.jobs.get(job_id)
         machine = self.roster.get(name)
         if machine is None or machine.kind is None or not machine.usable:
-            return
+            return 0
         if job is None or job.cancelled or job.over:
-            return
+            return 0
+        if RANKS[job.spec.priority] >= RANKS[Priority.LOW] and self._records_late():
+            return 0  # room held for a start that can't be recorded yet is room lost
+        asked = count
         today = self.clock.today()
         limit = int(self.params.state.value_kb * 1024)
         for page in job.free_tasks():
@@ -424,4 +482,9 @@
                 bound += row
             self.mark(page)
             if count <= 0:
-                return
+                break
+        return asked - count
+
+    def _records_late(self) -> bool:
+        """More starts wait for their records than the rate of changes takes in a moment."""
+        return self.backlog() > max(8.0, self.params.state.write_rps * RECORDS_AHEAD)
--- a/dappledrum/jobs/polls.py
+++ b/dappledrum/jobs/polls.py
@@ -23,6 +23,7 @@
 
 KEPT = 4_000  # live jobs of which the newest reading is kept
 GATHER = timedelta(milliseconds=10)  # polls that come together are read together
+GATHER_MOST = timedelta(milliseconds=300)
 PATIENCE = timedelta(seconds=1)
 AT_ONCE = 3  # readings on their way: one that hangs must not hold up all others
 SINGLE = 4  # up to so many jobs are read one by one, more from the list of all live ones
@@ -89,7 +90,10 @@
         """Begin readings for as long as polls wait."""
         try:
             while self.waiting:
-                pause = max(GATHER, min(self.state.busy_for(Rank.POLL), PATIENCE / 2))
+                # The more of the share is used up, the more polls go into one reading.
+                scarce = 1 - max(0.0, self.state.requests.level) / self.state.requests.size
+                pause = GATHER + (GATHER_MOST - GATHER) * scarce
+                pause = max(pause, min(self.state.busy_for(Rank.POLL), PATIENCE / 2))
                 await asyncio.sleep(pause.total_seconds())
                 if len(self.running) >= AT_ONCE:
                     await asyncio.wait(self.running, return_when=asyncio.FIRST_COMPLETED)
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from dappledrum.clock import Clock
-from dappledrum.jobs.messages import JobRecord
+from dappledrum.jobs.messages import RANKS, JobRecord
 from dappledrum.jobs.record import Job, Page, ended_key, head_key
 from dappledrum.leadership.elector import LEADER, Term
 from dappledrum.settings import StateLimits
@@ -61,6 +61,10 @@
                 self.dirty.setdefault(job.page(0), now)
         self.wake.set()
 
+    def starts_waiting(self) -> int:
+        """Pages with starts that are not stored yet."""
+        return sum(page.starts > page.saved for page in self.dirty)
+
     async def run(self) -> None:
         """Write until the term is over."""
         while not self.term.over.is_set():
@@ -101,7 +105,8 @@
             return True
         now = self.clock.now()
         urgent = [p for p, since in self.dirty.items() if p.starts > p.saved or now - since > LAZY]
-        urgent.sort(key=lambda page: page.starts <= page.saved)
+        # Starts of urgent jobs before others': a swarm of small jobs must not delay them.
+        urgent.sort(key=lambda page: (page.starts <= page.saved, RANKS[page.job.spec.priority]))
         spare = min(room, int(self.state.writes.level - 0.5 * self.state.writes.size))
         hurried = set(urgent)
         lazy = [page for page in self.dirty if page not in hurried][: max(0, spare)]
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -108,6 +108,7 @@
             clock,
             tuning,
             self.recorder.mark,
+            self.recorder.starts_waiting,
         )
         self.loaded = asyncio.Event()
         self.woken = asyncio.Event()
--- a/dappledrum/standins/state_service.py
+++ b/dappledrum/standins/state_service.py
@@ -29,6 +29,7 @@
         self.refused: set[str] = set()
         self.next_hold = 1
         self.writes = 0
+        self.requests = 0
 
     def end_outage(self) -> None:
         """Service again; every lease has its full time."""
@@ -60,6 +61,7 @@
 
     async def __call__(self, source: str, method: str, path: str, body: bytes) -> Reply:
         """One request."""
+        self.requests += 1
         route, _, query = path.partition("?")
         options = {key: values[0] for key, values in parse_qs(query).items()}
         if self.out or source in self.refused:
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -92,6 +92,7 @@
     teams: tuple[Team, ...] = (Team("blue"), Team("red", cpus_max=8.0))
     members: tuple[str, ...] = ("drummer-0", "drummer-1", "drummer-2")
     lease_s: float = 9.0
+    rps: float = 200.0
     rng: random.Random = field(init=False)
     nodes: dict[str, Node] = field(default_factory=dict)
     processes: dict[str, asyncio.Task[None]] = field(default_factory=dict)
@@ -114,7 +115,7 @@
         self.params = Params(
             teams=list(self.teams),
             workers=WorkerLimits(1.0, self.lease_s, 30.0),
-            state=StateLimits(200.0, 100.0, 8.0, 24),
+            state=StateLimits(self.rps, 100.0, 8.0, 24),
             cloud=CloudLimits(4.0, 4.0),
             zones=["a", "b"],
         )
--- /dev/null
+++ b/dappledrum/test_swarm.py
@@ -0,0 +1,77 @@
+"""Hundreds of jobs of one task each: what each costs in requests, changes and planning."""
+
+import asyncio
+from collections import Counter
+
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+
+JOBS = 150
+
+
+async def served(world, number):
+    """One user: submits a job and polls until it is done."""
+    spec = job(
+        number,
+        beats=1,
+        vcpus=0.25,
+        memGb=0.2,
+        runS=20.0,
+        expectedS=15.0,
+        urgency="best_effort",
+        dueS=None,
+    )
+    assert await world.submit(spec) == 201
+    answers = Counter()
+    while (state := await world.poll(spec["id"])) != "done":
+        answers[state] += 1
+        await asyncio.sleep(1)
+    return answers
+
+
+def test_a_swarm_shares_reads_and_writes_four_changes_a_job():
+    """Each poll once was a read of its own, and hundreds of them starved submissions."""
+
+    async def main():
+        world = World(seed=14, rps=60.0)
+        await world.until(lambda: world.leader() is not None)
+        writes, requests = world.state.writes, world.state.requests
+        users = []
+        for number in range(JOBS):
+            users.append(asyncio.get_running_loop().create_task(served(world, number)))
+            await world.wait(0.05)
+        await world.until(lambda: all(user.done() for user in users))
+        answers = sum((user.result() for user in users), Counter())
+        assert answers.total() > JOBS * 10
+        assert answers[None] < answers.total() * 0.02
+        assert world.state.writes - writes < JOBS * 4.5
+        assert world.state.requests - requests < answers.total() * 0.5
+
+    run(main())
+
+
+def test_jobs_of_one_task_that_are_alike_make_one_bag():
+    """A plan for 800 of them took two seconds, a bag each."""
+
+    async def main():
+        world = World(seed=15)
+        most, world.cloud.most = world.cloud.most, 0  # nothing starts, so all stay ready
+        await world.until(lambda: world.leader() is not None)
+        await world.wait(1)
+        for number in range(40):
+            image = "img-1" if number < 20 else "img-2"
+            spec = job(number, beats=1, skin=image, dueS=600.0)
+            assert await world.submit(spec) == 201
+        await world.submit(job(100, beats=9))
+        await world.wait(2)
+        dispatcher = world.nodes[world.leader()].leader.dispatcher
+        bags = dispatcher._bags(dispatcher.clock.now())
+        sizes = Counter()
+        for bag in bags:
+            sizes[bag.image, bag.total == 9] += bag.ready
+        assert sizes == {("img-1", False): 20, ("img-2", False): 20, ("img-1", True): 9}
+        assert len(bags) <= 7
+        world.cloud.most = most
+        await world.finish([f"j-{n:06d}" for n in [*range(40), 100]])
+
+    run(main())
