--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -34,6 +34,8 @@
 SMALL = 4  # tasks of a job that may share a bag with others
 ALIKE = 1.3  # factor up to which run times count as alike
 RECORDS_AHEAD = 1.0  # seconds' worth of changes that starts of low urgency may queue up
+IDLE_SPARED = 0.25  # share of the spot machines that idle work leaves free
+IDLE_RENTED = 0.05  # share of the fleet that may be rented for it by one plan in calm times
 OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
 
 
@@ -70,6 +72,9 @@
         self.mark = mark
         self.backlog = backlog
         self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
+        self.idle_cpus = 0.0  # that work which nobody expects may take in one plan
+        self.calm = False  # the newest plan had nothing late and rented nothing
+        self.yielding: set[str] = set()  # jobs that lose nothing when they are stopped
         self.guaranteed: set[str] = set()
         self.moments: dict[str, tuple[timedelta, timedelta]] = {}  # for one plan
 
@@ -85,6 +90,7 @@
         lanes = [
             view for machine in self.roster if (view := self._lanes(machine, now)) is not None
         ]
+        self.idle_cpus = self._idle_room(lanes)
         bags = self._bags(now)
         planner = Planner(
             now, lanes, self._offers(), self.tuning.ready_share, TeamRoom(self._team_room())
@@ -99,9 +105,15 @@
             if self.clock.now() - turn > TURN:
                 await asyncio.sleep(0)
                 turn = self.clock.now()
+        self.yielding = {
+            job.id
+            for job in self.jobs.values()
+            if job.spec.checkpoint_s > 0 and self._is_idle(job)
+        }
         for bag in bags:
             if bag.id in plan.late and not bag.held and not bag.thrifty and bag.id in self.jobs:
                 self._preempt(self.jobs[bag.id], bag, plan.late[bag.id], now)
+        self.calm = not plan.late and not plan.rentals
         if self.keeper.listed:
             self._cheapen(plan, lanes)
         # Before the first list nobody knows what a predecessor has rented.
@@ -221,6 +233,12 @@
         run = self.task_time(job)
         own = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
         limits = stage_deadlines(self.params.objectives, spec.job_class, own, run)
+        idle = self._is_idle(job)
+        if idle:
+            ready = min(ready, int(self.idle_cpus / max(spec.cpus, 0.1)))
+            if ready <= 0:
+                return None
+            self.idle_cpus -= ready * spec.cpus
         if not limits:
             limits = [
                 run + timedelta(seconds=30)
@@ -229,9 +247,11 @@
             ]
         age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
         limit = next_deadline(limits, age + run * OPTIMISM)
+        if idle:
+            age, limit = ZERO, ZERO  # as soon as there is room, however long it has waited
         # Too late for everything: what can still be in time goes first, and nothing dear is rented
         # for it.
-        missed = limit is None
+        missed = limit is None or idle
         due = now + (limits[-1] if limit is None else limit) - age
         zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
         return Bag(
@@ -244,17 +264,18 @@
             due=due,
             image=spec.image,
             image_gb=spec.image_gb,
-            allowed=self._allowed(job, zones if spec.one_zone else set()),
-            rank=self._rank(job, missed or held, due - run),
+            allowed=self._allowed(job, zones if spec.one_zone else set(), idle and spec.spot),
+            rank=self._rank(job, 2 if held or idle else int(missed), due - run),
             one_zone=spec.one_zone and not zones,
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
             held=held,
             waited=max(self.clock.today() - job.accepted_at, ZERO),
             thrifty=missed,
+            idle=idle,
         )
 
-    def _rank(self, job: Job, missed: bool, latest_start: timedelta) -> tuple[float, ...]:
+    def _rank(self, job: Job, missed: int, latest_start: timedelta) -> tuple[float, ...]:
         """What comes before the paper's order: guarantees, then what can still be in time, then
         high urgency, which could preempt the rest anyway, then the least slack."""
         urgency = RANKS[job.spec.priority]
@@ -267,13 +288,41 @@
             urgency,
         )
 
-    def _allowed(self, job: Job, zones: set[str]) -> Callable[[Kind], bool]:
+    def _is_idle(self, job: Job) -> bool:
+        """Nobody expects the job by any time: low urgency, no deadline, no objective."""
+        spec = job.spec
+        return (
+            spec.priority is Priority.LOW
+            and spec.form is Form.ARRAY
+            and spec.deadline_s is None
+            and not stage_deadlines(self.params.objectives, spec.job_class, None, ZERO)
+        )
+
+    def _idle_room(self, lanes: list[Lanes]) -> float:
+        """CPUs that work may take in this plan which nobody expects by any time: what is free on
+        spot machines that are paid for anyway, less some for what comes unexpected; and in calm
+        times a few machines more. It runs for minutes, so it would fit into no billed interval,
+        and planned afresh with a far deadline it would be put off for ever."""
+        up = [view for view in lanes if view.kind.spot and not view.booting]
+        total = free = 0.0
+        for view in up:
+            total += view.capacity
+            free += max(0.0, view.free[0].cpus)
+        more = 0.0
+        if self.calm:
+            largest = max((model.cpus for model in self.keeper.types.values()), default=0.0)
+            more = max(IDLE_RENTED * sum(view.capacity for view in lanes), largest)
+        return max(0.0, free - IDLE_SPARED * total) + more
+
+    def _allowed(
+        self, job: Job, zones: set[str], spot_only: bool = False
+    ) -> Callable[[Kind], bool]:
         spec = job.spec
         types: dict[str, MachineType] = self.keeper.types
         fits = {name for name, model in types.items() if allowed(spec, model)}
 
         def check(kind: Kind) -> bool:
-            if kind.type not in fits or (kind.spot and not spec.spot):
+            if kind.type not in fits or (not kind.spot if spot_only else kind.spot > spec.spot):
                 return False
             if spec.zone is not None and kind.zone != spec.zone:
                 return False
@@ -399,8 +448,10 @@
         """Make room for what would be late: a team's guarantee against borrowers, `prod`
         against lower urgency."""
         guaranteed = self.guaranteed
-        # High urgency may stop lower work, too, but what it gained the stopped work lost twice.
-        if job.id not in guaranteed and job.spec.priority is not Priority.PRODUCTION:
+        # High urgency may stop lower work, too, but what it gained the stopped work lost twice;
+        # unless the work keeps its progress, and nobody waits for it.
+        gentle = job.id not in guaranteed and job.spec.priority is not Priority.PRODUCTION
+        if gentle and not self.yielding:
             return
         # Stopping takes a report to be told, and one to be seen.
         if now + self.params.workers.report * 2 + bag.run > bag.due and job.id not in guaranteed:
@@ -423,8 +474,12 @@
                 other = placement.page.job
                 size = Size(other.spec.cpus, other.spec.gpus, other.spec.memory_gb)
                 free = free.minus(size)
-                if not placement.lost and self._yields(other, job, guaranteed):
+                if placement.lost or (gentle and other.id not in self.yielding):
+                    continue
+                if self._yields(other, job, guaranteed):
                     ran = ZERO if placement.running_at is None else now - placement.running_at
+                    if other.spec.checkpoint_s > 0:
+                        ran = min(ran, other.spec.save)
                     victims.append(Victim(placement, size, ran))
             hosts.append(Host(machine.name, free, victims))
         for victim in choose(bag.size, min(late, MOST_STOPPED), hosts):
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -90,7 +90,9 @@
         self.clock = clock
         self.types: list[MachineType] | None = None
         self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
-        self.polls = Polls(state, params.state.txn_ops * 4, self.find, self._find_many)
+        self.polls = Polls(
+            state, params.state.txn_ops * 4, self.find, self._find_many, self._find_ended
+        )
 
     def remember(self, job: str, record: EndedRecord) -> None:
         """Keep a final state; it never changes again."""
@@ -194,12 +196,18 @@
         It moves from live to ended only, so the live key is read first; both absent: never
         accepted.
         """
-        wait = self.state.busy_for(rank)
-        if wait > READ_PATIENCE / 2:
-            raise RefusedError("over the share of requests")
+        self._affordable(rank)
         entry = await self.state.get(head_key(job), rank, READ_PATIENCE)
         if entry is not None:
             return self._decode(entry.value, JobRecord), entry.version
+        return await self._find_ended(job, rank)
+
+    def _affordable(self, rank: Rank) -> None:
+        if self.state.busy_for(rank) > READ_PATIENCE / 2:
+            raise RefusedError("over the share of requests")
+
+    async def _find_ended(self, job: str, rank: Rank) -> EndedRecord | None:
+        """Read the final state of a job that is not live any more, or never was."""
         entry = await self.state.get(ended_key(job), rank, READ_PATIENCE)
         if entry is None:
             return None
--- a/dappledrum/jobs/polls.py
+++ b/dappledrum/jobs/polls.py
@@ -26,7 +26,7 @@
 GATHER_MOST = timedelta(milliseconds=300)
 PATIENCE = timedelta(seconds=1)
 AT_ONCE = 3  # readings on their way: one that hangs must not hold up all others
-SINGLE = 4  # up to so many jobs are read one by one, more from the list of all live ones
+SINGLE = 2  # up to so many jobs are read one by one, more from the list of all live ones
 
 
 class Seen(NamedTuple):
@@ -55,11 +55,13 @@
         most_guards: int,
         find: Callable[[str, Rank], Awaitable[Found]],
         find_many: Callable[[set[str]], Awaitable[dict[str, tuple[JobRecord, int]]]],
+        find_ended: Callable[[str, Rank], Awaitable[EndedRecord | None]],
     ) -> None:
         self.state = state
         self.most_guards = most_guards
         self.find = find
         self.find_many = find_many
+        self.find_ended = find_ended
         self.known: OrderedDict[str, tuple[Seen, int]] = OrderedDict()
         self.waiting: dict[str, asyncio.Future[Told]] = {}
         self.running: set[asyncio.Task[None]] = set()
@@ -77,7 +79,7 @@
     async def ask(self, job: str) -> Told:
         """State of a job, from a reading that begins after this call."""
         wait = self.state.busy_for(Rank.POLL)
-        if wait > PATIENCE / 2 or len(self.waiting) > KEPT:
+        if wait > PATIENCE * 0.8 or len(self.waiting) > KEPT:
             raise RefusedError("over the share of requests")
         answer = self.waiting.get(job)
         if answer is None:
@@ -129,12 +131,14 @@
         held = await self._unchanged({job for job in jobs if job in self.known})
         result: dict[str, Told | StateError] = dict(held)
         missing = jobs - held.keys()
+        find: Callable[[str, Rank], Awaitable[Found]] = self.find
         if len(missing) > SINGLE:
+            find = self.find_ended  # what is not among the live ones now was over before
             for job, (record, version) in (await self.find_many(missing)).items():
                 result[job] = seen(record)
                 self.note(job, seen(record), version)
             missing -= result.keys()
-        found = await asyncio.gather(*(self._single(job) for job in missing))
+        found = await asyncio.gather(*(self._single(find, job) for job in missing))
         result.update(zip(missing, found, strict=True))
         return result
 
@@ -159,9 +163,11 @@
                 self.known.pop(job, None)
         return result
 
-    async def _single(self, job: str) -> Told | StateError:
+    async def _single(
+        self, find: Callable[[str, Rank], Awaitable[Found]], job: str
+    ) -> Told | StateError:
         try:
-            found = await self.find(job, Rank.POLL)
+            found = await find(job, Rank.POLL)
         except StateError as error:
             return error
         if isinstance(found, tuple):
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -96,6 +96,7 @@
         self.ready_at = ready_at
         self.rented_at = rented_at
         self.hourly = hourly
+        self.capacity = free.cpus
         self.hourly_cpu = hourly / max(free.cpus, 1e-3)
         self.fetch_gb_per_s = fetch_gb_per_s
         self.interval = interval
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -48,6 +48,7 @@
     held: bool = False  # placed only, nothing is rented for it
     waited: timedelta = ZERO  # since the job was accepted
     thrifty: bool = False  # too late anyway: only the cheaper kind of machine is rented for it
+    idle: bool = False  # nobody expects it by any time, so it is never late
 
 
 @dataclass
@@ -287,7 +288,8 @@
             if best is None or score < best[0]:
                 best = (score, trial)
         if best is None:
-            self.plan.late[bag.id] = count
+            if not bag.idle:
+                self.plan.late[bag.id] = count
             return
         trial = best[1]
         late = (
@@ -299,7 +301,7 @@
             + tried
             - trial.placed
         )
-        if late:
+        if late and not bag.idle:
             self.plan.late[bag.id] = late
         for lanes in trial.new:
             lanes.machine = f"+{self.fresh}"
--- /dev/null
+++ b/dappledrum/test_idle.py
@@ -0,0 +1,48 @@
+"""Work that nobody expects by any time: it gets idle room, gives it back, and still ends."""
+
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+
+IDLE = {
+    "urgency": "best_effort",
+    "dueS": None,
+    "markEveryS": 5.0,
+    "markTakeS": 1.0,
+    "expectedS": 40.0,
+    "runS": 40.0,
+}
+
+
+def running(world, name):
+    return sum(job_id == name for job_id, _ in world.rules.running)
+
+
+def test_idle_work_starts_without_a_deadline_and_ends():
+    """Planned with a far deadline it was put off at each plan, and began when the day was over."""
+
+    async def main():
+        world = World(seed=21)
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=12, **IDLE))
+        await world.until(lambda: running(world, "j-000001") >= 4, most=60)
+        await world.finish(["j-000001"])
+        assert all(machine.kind[2] for machine in world.cloud.machines.values())
+
+    run(main())
+
+
+def test_idle_work_that_keeps_its_progress_gives_way_to_what_would_be_late():
+    async def main():
+        world = World(seed=22)
+        world.cloud.most = 2
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=40, **IDLE | {"runS": 300.0, "builds": ["small"]}))
+        await world.until(lambda: running(world, "j-000001") >= 3, most=90)
+        before = running(world, "j-000001")
+        await world.submit(job(2, beats=2, vcpus=3.0, builds=["small"], dueS=40.0))
+        took = await world.finish(["j-000002"], most=60)
+        assert took < 40
+        assert running(world, "j-000001") < before + 1
+        assert await world.cancel("j-000001") == "cancelled"
+
+    run(main())
