A controller that stood still blames nobody, and sends nothing that it is no longer entitled to

A time limit that comes due late gets a moment in which what has arrived is read; rentals and returns are checked once more when they leave; a pause is logged with its length.

--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -72,6 +72,7 @@
         self.mark = mark
         self.backlog = backlog
         self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
+        self.awake_since = ZERO
         self.idle_cpus = 0.0  # that work which nobody expects may take in one plan
         self.calm = False  # the newest plan had nothing late and rented nothing
         self.yielding: set[str] = set()  # jobs that lose nothing when they are stopped
@@ -84,6 +85,7 @@
         A plan for hundreds of machines takes a good part of a second, so the event loop gets its
         turn in between, and what starts is placed as soon as it is decided.
         """
+        self.awake_since = self.keeper.awake_since()
         now = self.clock.now()
         self.guaranteed = self._guaranteed()
         self.moments = {}
@@ -137,7 +139,8 @@
         if kind is None or model is None or not machine.usable:
             return None
         if machine.up and (
-            machine.silent(now, self.params.workers.report) or now < machine.blocked_until
+            machine.silent(now, self.params.workers.report, self.awake_since)
+            or now < machine.blocked_until
         ):
             return None
         if not machine.up and machine.placements:
--- a/dappledrum/fleet/cloud.py
+++ b/dappledrum/fleet/cloud.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from datetime import timedelta
 from typing import TypeVar
 
@@ -41,12 +42,22 @@
         self.clock = clock
         self.next_at = ZERO
 
-    async def _call(self, method: str, path: str, body: bytes | None) -> Reply:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        entitled: Callable[[], bool] = lambda: True,
+    ) -> Reply:
         now = self.clock.now()
         at = max(self.next_at, now)
         self.next_at = at + self.gap
         if at > now:
             await asyncio.sleep((at - now).total_seconds())
+        if not entitled():
+            # The process may have stood still since this was decided, and another controller may
+            # be using the machines by now.
+            raise CloudError("no longer entitled")
         try:
             reply = await self.caller.request(method, path, body, PATIENCE)
         except NoResponseError as error:
@@ -70,14 +81,15 @@
         """Machine types with their current prices."""
         return self._decode(await self._call("GET", "/catalog", None), Catalog).types
 
-    async def rent(self, request: RentalRequest) -> list[str]:
+    async def rent(self, request: RentalRequest, entitled: Callable[[], bool]) -> list[str]:
         """Rent machines; fewer than asked for may come."""
-        reply = await self._call("POST", "/rentals", msgspec.json.encode(request))
+        reply = await self._call("POST", "/rentals", msgspec.json.encode(request), entitled)
         return self._decode(reply, MachineNames).machines
 
-    async def give_back(self, machines: list[str]) -> None:
+    async def give_back(self, machines: list[str], entitled: Callable[[], bool]) -> None:
         """Return machines; when this ends well they are gone."""
-        await self._call("POST", "/rentals/return", msgspec.json.encode(MachineNames(machines)))
+        body = msgspec.json.encode(MachineNames(machines))
+        await self._call("POST", "/rentals/return", body, entitled)
 
     async def machines(self) -> list[ListedMachine]:
         """All machines, as they were some time ago."""
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -40,7 +40,9 @@
         interval: timedelta,
         leading: Callable[[], bool],
         wake: Callable[[str], None],
+        awake_since: Callable[[], timedelta] = lambda: ZERO,
     ) -> None:
+        self.awake_since = awake_since
         self.cloud = cloud
         self.roster = roster
         self.bookkeeper = bookkeeper
@@ -163,7 +165,7 @@
         )
         sent = self.clock.now()
         try:
-            names = await self.cloud.rent(request)
+            names = await self.cloud.rent(request, self.leading)
         except NoCapacityError:
             self._set_aside(kind)
             self.wake("refused")
@@ -212,7 +214,7 @@
             names = [m.name for m in self.roster if m.returning][:RETURN_MOST]
             if names:
                 try:
-                    await self.cloud.give_back(names)
+                    await self.cloud.give_back(names, self.leading)
                 except CloudError as error:
                     log.warning("return of %d machines unanswered: %s", len(names), error)
                     await asyncio.sleep(1)
@@ -238,6 +240,7 @@
         if (
             machine.up
             and machine.expired(now, lease + timedelta(seconds=20))
+            and now - self.awake_since() > lease
             and self._connected(now)
         ):
             return "it is silent"
@@ -254,7 +257,8 @@
     def _connected(self, now: timedelta) -> bool:
         """Most machines report, so one that does not is to blame itself."""
         up = [m for m in self.roster if m.up]
-        heard = sum(not m.silent(now, self.params.workers.report) for m in up)
+        since = self.awake_since()
+        heard = sum(not m.silent(now, self.params.workers.report, since) for m in up)
         return heard * 2 > len(up)
 
     # watching
--- a/dappledrum/fleet/test_keeper.py
+++ b/dappledrum/fleet/test_keeper.py
@@ -25,14 +25,14 @@
         self.requests = []
         self.returned = []
 
-    async def rent(self, request):
+    async def rent(self, request, entitled):
         self.requests.append(request.request)
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
         return answer
 
-    async def give_back(self, names):
+    async def give_back(self, names, entitled):
         self.returned += names
 
     async def machines(self):
--- a/dappledrum/http/client.py
+++ b/dappledrum/http/client.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from dappledrum.patience import Patience
+
 MAX_REPLY = 64 * 1024 * 1024
 
 
@@ -114,7 +116,7 @@
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         data = head.encode("latin-1") + b"\r\n" + (body or b"")
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with Patience(timeout):
                 return await self._request(data, again=method == "GET")
         except TimeoutError as error:
             raise NoResponseError(f"no answer within {timeout.total_seconds():g} s") from error
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -63,6 +63,7 @@
         tuning: Tuning,
         types: list[MachineType],
         on_ended: Callable[[Job], None],
+        awake_since: Callable[[], timedelta] = lambda: ZERO,
     ) -> None:
         self.term = term
         self.leading = leading
@@ -96,6 +97,7 @@
             tuning.interval,
             leading,
             self.wake,
+            awake_since,
         )
         self.memory = FleetMemory(state, term, self.roster, clock, params.state.value_kb)
         self.set_types(types)
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -20,6 +20,7 @@
 from dappledrum.leader import Leader
 from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.messages import PromiseReply
+from dappledrum.patience import Pulse
 from dappledrum.peers.client import Peers
 from dappledrum.peers.messages import Knocks as KnocksQuestion
 from dappledrum.peers.messages import (
@@ -77,6 +78,7 @@
         self.elector = Elector(settings.member, self.state, clock, rng, life, self.peers.promise)
         self.elector.on_change = self._leadership_changed
         self.intake = Intake(self.state, self.params, clock)
+        self.pulse = Pulse(clock)
         self.leader: Leader | None = None
         self.knocks = Knocks()
         self._term_begun = asyncio.Event()
@@ -85,7 +87,11 @@
     async def run(self) -> None:
         """Everything that goes on by itself."""
         await asyncio.gather(
-            self.elector.run(), self._lead(), self._learn_types(), self._hear_workers()
+            self.pulse.run(),
+            self.elector.run(),
+            self._lead(),
+            self._learn_types(),
+            self._hear_workers(),
         )
 
     def _set_share(self) -> None:
@@ -124,6 +130,7 @@
                 self.tuning,
                 self.intake.types or [],
                 self._job_ended,
+                self.pulse.awake_since,
             )
             try:
                 await self.leader.run()
@@ -184,7 +191,8 @@
             if leader is None or not leader.loaded.is_set() or self.elector.leading() is None:
                 continue
             heard = self.knocks.last
-            if now - leader.began < silence or (heard is not None and now - heard < silence):
+            began = max(leader.began, self.pulse.awake_since())
+            if now - began < silence or (heard is not None and now - heard < silence):
                 continue
             names = shunned(
                 await self.peers.knocks(KNOCK_TIME, timedelta(seconds=1)), leader.roster
--- /dev/null
+++ b/dappledrum/patience.py
@@ -0,0 +1,86 @@
+"""Waiting that a pause of the whole process can't deceive.
+
+A controller may stand still for seconds while its clocks run on. When it goes on, every time
+limit that passed meanwhile is due at once, and answers lie unread in sockets. A limit that comes
+due late therefore gets a little more time, in which what has arrived is read, before anybody's
+silence is concluded from it; and whoever judges machines by their silence asks since when this
+process has been awake.
+"""
+
+import asyncio
+import logging
+from datetime import timedelta
+from types import TracebackType
+
+from dappledrum.clock import ZERO, Clock
+
+log = logging.getLogger(__name__)
+
+LATE = timedelta(milliseconds=250)  # a limit this late is a sign of a pause
+GRACE = timedelta(milliseconds=150)
+BEAT = timedelta(milliseconds=500)
+PAUSE = timedelta(seconds=1)  # a beat this late was a pause
+
+
+class Patience:
+    """`asyncio.timeout` for what others may be blamed for."""
+
+    def __init__(self, span: timedelta) -> None:
+        self.span = span
+        self._timeout = asyncio.timeout(None)
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+
+    async def __aenter__(self) -> "Patience":
+        await self._timeout.__aenter__()
+        self._set(max(self.span, ZERO))
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        if self._timer is not None:
+            self._timer.cancel()
+        return await self._timeout.__aexit__(kind, error, trace)
+
+    def _set(self, span: timedelta) -> None:
+        loop = asyncio.get_running_loop()
+        self._due = loop.time() + span.total_seconds()
+        self._timer = loop.call_at(self._due, self._expire)
+
+    def _expire(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if now - self._due > LATE.total_seconds():
+            self._set(GRACE)
+        else:
+            self._timeout.reschedule(now)
+
+
+class Pulse:
+    """Notices when this process has stood still."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.beat = clock.now()
+        self.since = self.beat
+
+    def awake_since(self) -> timedelta:
+        """Beginning of the time in which nothing was missed."""
+        now = self.clock.now()
+        gap = now - self.beat
+        self.beat = now
+        if gap > BEAT + PAUSE:
+            self.since = now
+            log.warning(
+                "stood still for about %.1f s, nobody is blamed for it", gap.total_seconds()
+            )
+        return self.since
+
+    async def run(self) -> None:
+        """Beat, for ever."""
+        while True:
+            self.awake_since()
+            await asyncio.sleep(BEAT.total_seconds())
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -1,13 +1,18 @@
 """A network that delays, cuts, holds back and loses."""
 
 import asyncio
+import contextvars
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
+from typing import Any
 
 from dappledrum.http.client import NoResponseError, NotSentError, Reply
+from dappledrum.patience import Patience
 
-Service = Callable[[str, str, str, bytes], Awaitable[Reply]]  # source, method, path, body
+Service = Callable[
+    [str, str, str, bytes], Coroutine[Any, Any, Reply]
+]  # source, method, path, body
 
 
 class Network:
@@ -59,7 +64,7 @@
     ) -> Reply:
         """As the real client: an answer, or NoResponseError."""
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with Patience(timeout):
                 return await self._request(method, path, body or b"")
         except TimeoutError as error:
             raise NoResponseError("no answer") from error
@@ -74,7 +79,12 @@
         service = network.services.get(self.target)
         if service is None:
             raise NotSentError("connection refused")
-        reply = await service(self.source, method, path, body)
+        # In a context of its own: what a service does is no part of the process that asked, and
+        # goes on when that stands still or gives up.
+        served = asyncio.get_running_loop().create_task(
+            service(self.source, method, path, body), context=contextvars.Context()
+        )
+        reply = await asyncio.shield(served)
         await asyncio.sleep(network.rng.uniform(0.0005, 0.004))
         if pair in network.cuts or pair in network.deaf:
             await asyncio.sleep(3600)
--- a/dappledrum/standins/time.py
+++ b/dappledrum/standins/time.py
@@ -2,8 +2,9 @@
 same way."""
 
 import asyncio
+import contextvars
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -25,11 +26,17 @@
         return super().select(0)
 
 
+#: Which controller's process a callback belongs to; everything it starts inherits it.
+PROCESS: contextvars.ContextVar[str | None] = contextvars.ContextVar("process", default=None)
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Waits take no real time."""
+    """Waits take no real time, and single processes can stand still while time goes on."""
 
     def __init__(self) -> None:
         self.virtual = 0.0
+        # What each frozen process would have done: whether it was a timer, and the callback.
+        self.frozen: dict[str, list[tuple[bool, asyncio.Handle, Callable[[], Any]]]] = {}
         selector = _Selector()
         super().__init__(selector)
         selector.loop = self
@@ -37,6 +44,62 @@
     def time(self) -> float:
         return self.virtual
 
+    def freeze(self, process: str) -> None:
+        """Nothing of this process runs any more."""
+        self.frozen.setdefault(process, [])
+
+    def thaw(self, process: str) -> None:
+        """It goes on: first with what has arrived, then with all that has come due."""
+        for _, handle, callback in sorted(self.frozen.pop(process, []), key=lambda item: item[0]):
+            if not handle.cancelled():
+                callback()
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:  # noqa: ANN401
+        context = contextvars.copy_context() if context is None else context
+        process = context.get(PROCESS)
+        if process is None:
+            return super().call_soon(callback, *args, context=context)
+        cell: list[asyncio.Handle] = []
+
+        def again() -> None:
+            self.call_soon(callback, *args, context=context)
+
+        handle = super().call_soon(
+            self._gate, False, process, cell, again, callback, *args, context=context
+        )
+        cell.append(handle)
+        return handle
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> Any:  # noqa: ANN401
+        context = contextvars.copy_context() if context is None else context
+        process = context.get(PROCESS)
+        if process is None:
+            return super().call_at(when, callback, *args, context=context)
+        cell: list[asyncio.Handle] = []
+
+        def again() -> None:
+            self.call_soon(callback, *args, context=context)
+
+        handle = super().call_at(
+            when, self._gate, True, process, cell, again, callback, *args, context=context
+        )
+        cell.append(handle)
+        return handle
+
+    def _gate(
+        self,
+        timer: bool,
+        process: str,
+        cell: list[asyncio.Handle],
+        again: Callable[[], Any],
+        callback: Callable[..., Any],
+        *args: Any,  # noqa: ANN401
+    ) -> None:
+        if process in self.frozen:
+            self.frozen[process].append((timer, cell[0], again))
+        else:
+            callback(*args)
+
 
 class SkewedClock(Clock):
     """A clock that is off: its rate for the steady time, a constant for the time of day."""
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -1,6 +1,7 @@
 """Three controllers and all that is around them, in one process and in virtual time."""
 
 import asyncio
+import contextvars
 import json
 import random
 from collections.abc import Callable
@@ -10,7 +11,7 @@
 
 from dappledrum.dispatch import Tuning
 from dappledrum.http.client import NoResponseError, Reply
-from dappledrum.http.server import Request
+from dappledrum.http.server import Handler, Request
 from dappledrum.model.rules import Rules
 from dappledrum.node import Node
 from dappledrum.settings import (
@@ -26,7 +27,7 @@
 from dappledrum.standins.fleet import CloudService, Timing
 from dappledrum.standins.network import Network, Service
 from dappledrum.standins.state_service import StateService
-from dappledrum.standins.time import SkewedClock
+from dappledrum.standins.time import PROCESS, SkewedClock, VirtualLoop
 
 TYPES = [
     {
@@ -153,28 +154,43 @@
             dict(callers),
         )
         self.nodes[member] = node
-        self.processes[member] = asyncio.get_running_loop().create_task(node.run())
-        self.network.services[member] = self._public(node)
-        self.network.services["back-" + member] = self._private(node)
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, member)
+        loop = asyncio.get_running_loop()
+        self.processes[member] = loop.create_task(node.run(), context=context)
+        self.network.services[member] = self._service(node.serve, context)
+        self.network.services["back-" + member] = self._service(node.serve_peer, context)
 
     @staticmethod
-    def _public(node: Node) -> Service:
+    def _service(handler: Handler, context: contextvars.Context) -> Service:
+        """What the network calls; it runs in the controller's process, so it stands still with
+        it."""
+
         async def serve(source: str, method: str, path: str, body: bytes) -> Reply:
-            response = await node.serve(Request(method, path, body))
+            loop = asyncio.get_running_loop()
+            task = loop.create_task(handler(Request(method, path, body)), context=context.copy())
+            response = await asyncio.shield(task)
             return Reply(response.status, response.body)
 
         return serve
 
-    @staticmethod
-    def _private(node: Node) -> Service:
-        async def serve(source: str, method: str, path: str, body: bytes) -> Reply:
-            response = await node.serve_peer(Request(method, path, body))
-            return Reply(response.status, response.body)
+    def freeze(self, member: str) -> None:
+        """A controller's process stands still; its clocks and everything else go on."""
+        self._loop().freeze(member)
 
-        return serve
+    def thaw(self, member: str) -> None:
+        """It goes on where it stopped."""
+        self._loop().thaw(member)
+
+    @staticmethod
+    def _loop() -> VirtualLoop:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        return loop
 
     def kill(self, member: str) -> None:
         """End a controller's process without a word."""
+        self.thaw(member)
         self.processes[member].cancel()
         self.network.services.pop(member, None)
         self.network.services.pop("back-" + member, None)
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -66,11 +66,12 @@
         )
         return now > heard + longer(lease) + GONE_MARGIN
 
-    def silent(self, now: timedelta, report: timedelta) -> bool:
-        """Reports are missing, so nothing new should be put there."""
-        return self.last_report is None or now - self.last_report > report * 2 + timedelta(
-            seconds=2
-        )
+    def silent(self, now: timedelta, report: timedelta, awake_since: timedelta) -> bool:
+        """Reports are missing, so nothing new should be put there; what this controller itself
+        has slept through is not the machine's silence."""
+        if self.last_report is None:
+            return True
+        return now - max(self.last_report, awake_since) > report * 2 + timedelta(seconds=2)
 
     def remember_image(self, image: str, size_gb: float, cache_gb: float) -> None:
         """The machine has fetched an image, and may have dropped the least recently used ones for
