--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -116,6 +116,7 @@
             if bag.id in plan.late and not bag.held and not bag.thrifty and bag.id in self.jobs:
                 self._preempt(self.jobs[bag.id], bag, plan.late[bag.id], now)
         self.calm = not plan.late and not plan.rentals
+        self._release_from_idle(plan, now)
         if self.keeper.listed:
             self._cheapen(plan, lanes)
         # Before the first list nobody knows what a predecessor has rented.
@@ -267,7 +268,11 @@
             due=due,
             image=spec.image,
             image_gb=spec.image_gb,
-            allowed=self._allowed(job, zones if spec.one_zone else set(), idle and spec.spot),
+            allowed=self._allowed(
+                job,
+                zones if spec.one_zone else set(),
+                idle and spec.spot and spec.checkpoint_s <= 0,
+            ),
             rank=self._rank(job, 2 if held or idle else int(missed), due - run),
             one_zone=spec.one_zone and not zones,
             zone_room=self._zone_room(job) if spec.spread else None,
@@ -303,10 +308,10 @@
 
     def _idle_room(self, lanes: list[Lanes]) -> float:
         """CPUs that work may take in this plan which nobody expects by any time: what is free on
-        spot machines that are paid for anyway, less some for what comes unexpected; and in calm
-        times a few machines more. It runs for minutes, so it would fit into no billed interval,
-        and planned afresh with a far deadline it would be put off for ever."""
-        up = [view for view in lanes if view.kind.spot and not view.booting]
+        machines that are paid for anyway, less some for what comes unexpected; and in calm times a
+        few machines more. It runs for minutes, so it would fit into no billed interval, and
+        planned afresh with a far deadline it would be put off for ever."""
+        up = [view for view in lanes if not view.booting]
         total = free = 0.0
         for view in up:
             total += view.capacity
@@ -447,6 +452,26 @@
             if left and calm and self.keeper.offered(cheaper):
                 plan.rentals[cheaper] = min(left, max(1, int(len(lanes) * SWAPPED)))
 
+    def _release_from_idle(self, plan: Plan, now: timedelta) -> None:
+        """An ordinary machine on which only idle work is left goes back like an idle one.
+
+        Only work that keeps its progress is placed there, and it is stopped in time to save.
+        """
+        report = self.params.workers.report
+        for machine in self.roster:
+            if machine.kind is None or machine.kind.spot or machine.name in plan.needed:
+                continue
+            jobs = [p.page.job for p in machine.placements.values()]
+            if not jobs or machine.retiring or any(j.id not in self.yielding for j in jobs):
+                continue
+            interval = self.keeper.interval(machine.kind)
+            left = interval - (now - machine.rented_at) % interval
+            if left <= report * 3 + max(j.spec.save for j in jobs) * 1.5 + timedelta(seconds=1):
+                log.info("%s gets no new work: only idle work is left on it", machine.name)
+                machine.retiring = True
+                for placement in machine.placements.values():
+                    placement.lost = True
+
     def _preempt(self, job: Job, bag: Bag, late: int, now: timedelta) -> None:
         """Make room for what would be late: a team's guarantee against borrowers, `prod`
         against lower urgency."""
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -247,7 +247,7 @@
         if machine.draining and machine.up:
             return "it is unhealthy"
         if machine.retiring and machine.up:
-            return "a cheaper one has taken its place"
+            return "it has no work that it is needed for"
         if not machine.up or not self.planned or machine.name in self.needed:
             return None
         interval = self.interval(machine.kind) if machine.kind is not None else self.base_interval
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -187,7 +187,8 @@
 
     def _commit(self, bag: Bag, lanes: Lanes, gap: Gap, count: int) -> None:
         self._use(bag, lanes, gap, count)
-        self.plan.needed.add(lanes.machine)
+        if not bag.idle:
+            self.plan.needed.add(lanes.machine)
         if gap.start <= self.now and not lanes.booting:
             self.plan.starts.append((bag.id, lanes.machine, count))
 
