--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -92,16 +92,23 @@
     def overdue(self, machine: Machine) -> bool:
         """A new machine is expected to be up sooner than this one, which may never come up."""
         now = self.clock.now()
-        # A new leader hears of machines that have long been up; give them the time to report to
-        # it.
-        introduced = now - machine.seen_at > self.params.workers.lease + INTRODUCED
         return (
             not machine.up
             and machine.kind is not None
-            and introduced
+            and now - machine.seen_at > self.params.workers.lease + INTRODUCED
+            and self._introduced(machine)
             and self.boots.hopeless(machine.kind, machine.rented_at, now)
         )
 
+    def _introduced(self, machine: Machine) -> bool:
+        """Whether this leader can say that the machine is not up.
+
+        A new leader hears of machines that have long been up, before they have found it: taken
+        for boots of many minutes, they made it expect the same of every new machine.
+        """
+        known = self.clock.now() - machine.seen_at
+        return machine.asked_at is not None or known > self.params.workers.lease + INTRODUCED
+
     def look_at_boots(self) -> None:
         """Learn from the boots that are over, and from those that should be."""
         now = self.clock.now()
@@ -113,7 +120,7 @@
             if machine.up_at is not None and machine.asked_at is not None:
                 self.boots.finished(machine.kind, machine.asked_at, machine.up_at)
                 machine.asked_at = None
-            elif not machine.up and not machine.returning:
+            elif not machine.up and not machine.returning and self._introduced(machine):
                 waiting.append(Waiting(machine.name, machine.kind, machine.rented_at))
         self.boots.refresh(waiting, now)
         for kind in {one.kind for one in waiting}:
--- a/dappledrum/fleet/test_keeper.py
+++ b/dappledrum/fleet/test_keeper.py
@@ -142,6 +142,21 @@
     run(main())
 
 
+def test_machines_that_have_not_found_a_new_leader_are_no_slow_boots():
+    """Taken for boots of many minutes, they made every takeover expect six times the boot."""
+
+    async def main():
+        keeper, roster = keeping(Till())
+        await asyncio.sleep(300)
+        for number in range(10):
+            machine = roster.ensure(f"h{number}", SPOT, keeper.clock.now())
+            machine.rented_at = timedelta(0)
+        keeper.look_at_boots()
+        assert keeper.boots.ratio(SPOT) == 1.0
+
+    run(main())
+
+
 def test_a_machine_that_the_list_does_not_show_yet_is_kept():
     """Lists may lag by far more than usual: dropped on its absence, it was paid for and never
     used."""
