--- a/dappledrum/fleet/boots.py
+++ b/dappledrum/fleet/boots.py
@@ -98,10 +98,12 @@
 
     def _ratio(self, kind: Kind) -> float:
         total, weight = self._over(kind)
+        # Beyond what was seen so far; after a time of quick boots that says most.
+        expected = min(math.exp(total / weight) * MARGIN, USUAL_MOST)
         for one in self._unfinished:
             age = ZERO if self._refreshed_at is None else self._refreshed_at - one.asked_at
             ratio = age / self._nominal(one.kind)
-            if ratio > USUAL_MOST:
+            if ratio > expected:
                 share = likeness(kind, one.kind)
                 total += share * math.log(ratio)
                 weight += share
