--- a/dappledrum/fleet/boots.py
+++ b/dappledrum/fleet/boots.py
@@ -40,7 +40,6 @@
 class Waiting(NamedTuple):
     """A boot that is not over."""
 
-    name: str
     kind: Kind
     asked_at: timedelta
 
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -121,7 +121,7 @@
                 self.boots.finished(machine.kind, machine.asked_at, machine.up_at)
                 machine.asked_at = None
             elif not machine.up and not machine.returning and self._introduced(machine):
-                waiting.append(Waiting(machine.name, machine.kind, machine.rented_at))
+                waiting.append(Waiting(machine.kind, machine.rented_at))
         self.boots.refresh(waiting, now)
         for kind in {one.kind for one in waiting}:
             ratio = self.boots.ratio(kind)
--- a/dappledrum/fleet/test_boots.py
+++ b/dappledrum/fleet/test_boots.py
@@ -35,7 +35,7 @@
     """After a time of quick boots, new ones were expected at once for minutes."""
     boots = seen(0.05)
     quick = boots.ratio(HERE)
-    waiting = [Waiting(f"m{n}", HERE, seconds(100.0)) for n in range(10)]
+    waiting = [Waiting(HERE, seconds(100.0))] * 10
     boots.refresh(waiting, seconds(130.0))
     assert boots.ratio(HERE) > quick * 3
     assert boots.left(HERE, seconds(100.0), seconds(130.0)) > timedelta(seconds=5)
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -24,6 +24,7 @@
         self.services: dict[str, Service] = {}
         self.cuts: set[frozenset[str]] = set()
         self.deaf: set[frozenset[str]] = set()  # requests arrive, answers are lost
+        self.refusing: set[frozenset[str]] = set()  # connections are refused or reset
         self.held: list[tuple[str, str, str, str, bytes]] = []
         self.late = 0
 
@@ -35,6 +36,7 @@
         """End all cuts; what was held back arrives now."""
         self.cuts.clear()
         self.deaf.clear()
+        self.refusing.clear()
         held, self.held = self.held, []
         for source, target, method, path, body in held:
             self.late += 1
@@ -77,7 +79,7 @@
             network.held.append((self.source, self.target, method, path, body))
             await asyncio.sleep(3600)
         service = network.services.get(self.target)
-        if service is None:
+        if service is None or pair in network.refusing:
             raise NotSentError("connection refused")
         # In a context of its own: what a service does is no part of the process that asked, and
         # goes on when that stands still or gives up.
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -178,6 +178,34 @@
     await world.wait(8)
 
 
+async def leader_refused_by_one_side(world, side):
+    leader = world.leader()
+    world.network.refusing |= {frozenset((leader, other)) for other in side(world, leader)}
+    await world.wait(25)
+    world.network.refusing.clear()
+
+
+async def workers_refused(world):
+    """The leader looks well from the state service's side, and no worker reaches it."""
+    await leader_refused_by_one_side(world, lambda world, _: list(world.cloud.machines))
+
+
+async def peers_refused_in_an_outage(world):
+    """No promise can be had, so the leader has to fall silent in time."""
+    world.state.out = True
+    await leader_refused_by_one_side(
+        world, lambda world, leader: ["back-" + m for m in world.members if m != leader]
+    )
+    world.state.end_outage()
+
+
+async def silent_for_a_minute_then_again(world):
+    """A controller without power; the others serve, and its successor meets the same."""
+    for _ in range(2):
+        await world.restart(world.leader(), after=60)
+        await world.until(lambda: world.leader() is not None)
+
+
 TROUBLES = [
     quiet,
     leader_killed,
@@ -199,6 +227,9 @@
     cloud_requests_arrive_late,
     transactions_arrive_late,
     reports_arrive_late,
+    workers_refused,
+    peers_refused_in_an_outage,
+    silent_for_a_minute_then_again,
 ]
 
 
