--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -79,7 +79,10 @@
         model = self.types.get(kind.type)
         if model is None:
             return self.base_interval
-        boot = model.boot * self.boots.ratio(kind)
+        # Only truly slow boots count: with every change of what is expected the intervals moved,
+        # and machines went back to be rented again.
+        ratio = self.boots.ratio(kind)
+        boot = model.boot * (ratio if ratio > SLOW else 1.0)
         return max(self.base_interval, boot * BOOTS_IN_INTERVAL)
 
     def ready_at(self, machine: Machine) -> timedelta:
