--- a/dappledrum/jobs/admission.py
+++ b/dappledrum/jobs/admission.py
@@ -15,6 +15,7 @@
 from dappledrum.state.messages import Guard, Put
 
 GATHER = timedelta(milliseconds=5)
+AT_ONCE = 4  # one slow answer of the state service must not hold up whoever comes next
 QUEUE = timedelta(milliseconds=300)  # what would wait for longer is told to come back
 
 
@@ -31,6 +32,7 @@
         self.state = state
         self.most_changes = most_changes
         self.waiting: dict[str, _Item] = {}
+        self.writing: set[asyncio.Task[None]] = set()
         self.writer: asyncio.Task[None] | None = None
 
     def full(self) -> bool:
@@ -43,15 +45,22 @@
         if item is None:
             future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
             item = self.waiting[job] = _Item(job, put, future)
-        if self.writer is None:
-            self.writer = asyncio.get_running_loop().create_task(self._write())
+        self._wake()
         return await asyncio.shield(item.answer)
 
+    def _wake(self) -> None:
+        if self.writer is None and self.waiting:
+            self.writer = asyncio.get_running_loop().create_task(self._write())
+
     async def _write(self) -> None:
         try:
             while self.waiting:
                 await asyncio.sleep(GATHER.total_seconds())
-                await self._commit(self._batch())
+                if len(self.writing) >= AT_ONCE:
+                    await asyncio.wait(self.writing, return_when=asyncio.FIRST_COMPLETED)
+                task = asyncio.get_running_loop().create_task(self._commit(self._batch()))
+                self.writing.add(task)
+                task.add_done_callback(self.writing.discard)
         finally:
             self.writer = None
 
@@ -80,7 +89,7 @@
                 if item in refused:
                     item.answer.set_exception(ConflictError(error.failed))
                 else:
-                    self.waiting.setdefault(item.job, item)
+                    self.waiting[item.job] = item
         except StateError as error:
             for item in batch:
                 item.answer.set_exception(type(error)(str(error)))
@@ -94,3 +103,4 @@
         for item in batch:
             if item.answer.done():
                 item.answer.exception()  # whoever asked may have gone
+        self._wake()
--- a/dappledrum/test_swarm.py
+++ b/dappledrum/test_swarm.py
@@ -94,3 +94,32 @@
         await world.finish([spec["id"] for spec in specs])
 
     run(main())
+
+
+def test_a_slow_answer_holds_up_no_later_submission():
+    """Written one transaction at a time, each slow answer made the next users wait, too."""
+
+    async def main():
+        world = World(seed=17)
+        await world.until(lambda: world.leader() is not None)
+        await world.wait(2)
+        member = next(m for m in world.members if m != world.leader())
+        state, slow = world.network.services["state"], True
+
+        async def service(source, method, path, body):
+            nonlocal slow
+            if slow and source == member and b'"job/' in body:
+                slow = False
+                await asyncio.sleep(0.6)
+            return await state(source, method, path, body)
+
+        world.network.services["state"] = service
+        loop = asyncio.get_running_loop()
+        first = loop.create_task(world.submit(job(1), 1, member))
+        await asyncio.sleep(0.05)
+        began = loop.time()
+        assert await world.submit(job(2), 1, member) == 201
+        assert loop.time() - began < 0.2
+        assert await first == 201
+
+    run(main())
