--- a/dappledrum/jobs/admission.py
+++ b/dappledrum/jobs/admission.py
@@ -1,7 +1,7 @@
 """Puts accepted jobs into the state service, those that come together in one transaction.
 
-Each job keeps its own guards. When one of them fails, only its job hears of it, and the others go
-into the next transaction.
+Each job keeps its own guards. When one of them fails, only its job hears of it, and the others are
+written without it.
 """
 
 import asyncio
@@ -45,12 +45,9 @@
         if item is None:
             future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
             item = self.waiting[job] = _Item(job, put, future)
-        self._wake()
-        return await asyncio.shield(item.answer)
-
-    def _wake(self) -> None:
-        if self.writer is None and self.waiting:
+        if self.writer is None:
             self.writer = asyncio.get_running_loop().create_task(self._write())
+        return await asyncio.shield(item.answer)
 
     async def _write(self) -> None:
         try:
@@ -85,11 +82,11 @@
         except ConflictError as error:
             failed = set(error.failed)
             refused = [i for i in batch if {head_key(i.job), ended_key(i.job)} & failed] or batch
-            for item in batch:
-                if item in refused:
-                    item.answer.set_exception(ConflictError(error.failed))
-                else:
-                    self.waiting[item.job] = item
+            for item in refused:
+                item.answer.set_exception(ConflictError(error.failed))
+            others = [item for item in batch if item not in refused]
+            if others:
+                await self._commit(others)
         except StateError as error:
             for item in batch:
                 item.answer.set_exception(type(error)(str(error)))
@@ -103,4 +100,3 @@
         for item in batch:
             if item.answer.done():
                 item.answer.exception()  # whoever asked may have gone
-        self._wake()
