--- a/dappledrum/fleet/boots.py
+++ b/dappledrum/fleet/boots.py
@@ -125,15 +125,26 @@
         age = now - asked_at
         if age <= nominal * USUAL_MOST + FLOOR:
             return False
-        later = [b for b in self.seen if b.asked_at >= asked_at and b.kind[:2] == kind[:2]]
-        if later:
-            slowest = max(max(boot.ratio for boot in later), USUAL_MOST)
-            return age > max(nominal * slowest * OVERTAKEN, nominal + FLOOR)
+        if self._later(kind, asked_at):
+            return self.overtaken(kind, asked_at, now)
         total, weight = self._over(kind)
         if age <= nominal * max(math.exp(total / weight), 1.0) * ALONE:
             return False
         return self.exchanged_at is None or now - self.exchanged_at > self.expected(kind)
 
+    def _later(self, kind: Kind, asked_at: timedelta) -> list[Boot]:
+        """Boots of the type and zone that are over, though asked for no earlier."""
+        return [b for b in self.seen if b.asked_at >= asked_at and b.kind[:2] == kind[:2]]
+
+    def overtaken(self, kind: Kind, asked_at: timedelta, now: timedelta) -> bool:
+        """Others that were asked for later are up, and twice the slowest of them has passed."""
+        later = self._later(kind, asked_at)
+        if not later:
+            return False
+        nominal = self._nominal(kind)
+        slowest = max(max(boot.ratio for boot in later), USUAL_MOST)
+        return now - asked_at > max(nominal * slowest * OVERTAKEN, nominal + FLOOR)
+
     def given_up(self, now: timedelta) -> None:
         """One was given up, so that the next waits for what comes of it."""
         self.exchanged_at = now
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -98,22 +98,19 @@
         return (
             not machine.up
             and machine.kind is not None
+            # A new leader hears of machines that have long been up; give them the time to report
+            # to it.
             and now - machine.seen_at > self.params.workers.lease + INTRODUCED
-            and self._introduced(machine)
             and self.boots.hopeless(machine.kind, machine.rented_at, now)
         )
 
-    def _introduced(self, machine: Machine) -> bool:
-        """Whether this leader can say that the machine is not up.
+    def look_at_boots(self) -> None:
+        """Learn from the boots that are over, and from those that should be.
 
-        A new leader hears of machines that have long been up, before they have found it: taken
-        for boots of many minutes, they made it expect the same of every new machine.
+        Only of machines that this leader has asked for: others may have long been up and gone
+        again, and taken for boots of many minutes they made every takeover, and every wave of
+        reclaims, expect the same of each new machine. One given up as lost says nothing, either.
         """
-        known = self.clock.now() - machine.seen_at
-        return machine.asked_at is not None or known > self.params.workers.lease + INTRODUCED
-
-    def look_at_boots(self) -> None:
-        """Learn from the boots that are over, and from those that should be."""
         now = self.clock.now()
         self.boots.nominal = {name: model.boot for name, model in self.types.items()}
         waiting = []
@@ -123,7 +120,12 @@
             if machine.up_at is not None and machine.asked_at is not None:
                 self.boots.finished(machine.kind, machine.asked_at, machine.up_at)
                 machine.asked_at = None
-            elif not machine.up and not machine.returning and self._introduced(machine):
+            elif (
+                machine.asked_at is not None
+                and not machine.up
+                and not machine.returning
+                and not self.boots.overtaken(machine.kind, machine.asked_at, now)
+            ):
                 waiting.append(Waiting(machine.kind, machine.rented_at))
         self.boots.refresh(waiting, now)
         for kind in {one.kind for one in waiting}:
--- a/dappledrum/fleet/test_keeper.py
+++ b/dappledrum/fleet/test_keeper.py
@@ -151,8 +151,10 @@
         for number in range(10):
             machine = roster.ensure(f"h{number}", SPOT, keeper.clock.now())
             machine.rented_at = timedelta(0)
-        keeper.look_at_boots()
-        assert keeper.boots.ratio(SPOT) == 1.0
+        for _ in range(3):
+            keeper.look_at_boots()
+            assert keeper.boots.ratio(SPOT) == 1.0
+            await asyncio.sleep(40)
 
     run(main())
 
