--- a/dappledrum/jobs/admission.py
+++ b/dappledrum/jobs/admission.py
@@ -1,7 +1,7 @@
 """Puts accepted jobs into the state service, those that come together in one transaction.
 
-Each job keeps its own guards. When one of them fails, only its job hears of it, and the others go
-into the next transaction.
+Each job keeps its own guards. When one of them fails, only its job hears of it, and the others are
+written without it.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 from dappledrum.state.messages import Guard, Put
 
 GATHER = timedelta(milliseconds=5)
+AT_ONCE = 4  # one slow answer of the state service must not hold up whoever comes next
 QUEUE = timedelta(milliseconds=300)  # what would wait for longer is told to come back
 
 
@@ -31,6 +32,7 @@
         self.state = state
         self.most_changes = most_changes
         self.waiting: dict[str, _Item] = {}
+        self.writing: set[asyncio.Task[None]] = set()
         self.writer: asyncio.Task[None] | None = None
 
     def full(self) -> bool:
@@ -51,7 +53,11 @@
         try:
             while self.waiting:
                 await asyncio.sleep(GATHER.total_seconds())
-                await self._commit(self._batch())
+                if len(self.writing) >= AT_ONCE:
+                    await asyncio.wait(self.writing, return_when=asyncio.FIRST_COMPLETED)
+                task = asyncio.get_running_loop().create_task(self._commit(self._batch()))
+                self.writing.add(task)
+                task.add_done_callback(self.writing.discard)
         finally:
             self.writer = None
 
@@ -76,11 +82,11 @@
         except ConflictError as error:
             failed = set(error.failed)
             refused = [i for i in batch if {head_key(i.job), ended_key(i.job)} & failed] or batch
-            for item in batch:
-                if item in refused:
-                    item.answer.set_exception(ConflictError(error.failed))
-                else:
-                    self.waiting.setdefault(item.job, item)
+            for item in refused:
+                item.answer.set_exception(ConflictError(error.failed))
+            others = [item for item in batch if item not in refused]
+            if others:
+                await self._commit(others)
         except StateError as error:
             for item in batch:
                 item.answer.set_exception(type(error)(str(error)))
