--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -34,6 +34,7 @@
 SMALL = 4  # tasks of a job that may share a bag with others
 ALIKE = 1.3  # factor up to which run times count as alike
 RECORDS_AHEAD = 1.0  # seconds' worth of changes that starts of low urgency may queue up
+IDLE_EVERY = timedelta(seconds=3)
 IDLE_SPARED = 0.25  # share of the spot machines that idle work leaves free
 IDLE_RENTED = 0.05  # share of the fleet that may be rented for it by one plan in calm times
 OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
@@ -73,6 +74,7 @@
         self.backlog = backlog
         self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
         self.awake_since = ZERO
+        self.idle_at = -IDLE_EVERY
         self.idle_cpus = 0.0  # that work which nobody expects may take in one plan
         self.calm = False  # the newest plan had nothing late and rented nothing
         self.yielding: set[str] = set()  # jobs that lose nothing when they are stopped
@@ -92,7 +94,11 @@
         lanes = [
             view for machine in self.roster if (view := self._lanes(machine, now)) is not None
         ]
-        self.idle_cpus = self._idle_room(lanes)
+        # Not with every plan: looking for room for thousands of idle tasks costs as much as all
+        # others together.
+        due = now - self.idle_at >= IDLE_EVERY
+        self.idle_cpus = self._idle_room(lanes) if due else 0.0
+        self.idle_at = now if due else self.idle_at
         bags = self._bags(now)
         planner = Planner(
             now, lanes, self._offers(), self.tuning.ready_share, TeamRoom(self._team_room())
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -34,7 +34,7 @@
 PAGES = "page/"
 TIMER = timedelta(seconds=1)  # stalled boots and overruns wake nobody, so the clock does
 GATHER = timedelta(milliseconds=100)
-LOAD = 3  # a plan is followed by a pause of at least this many times its own duration
+LOAD = 4  # a plan is followed by a pause of at least this many times its own duration
 WATCH_GAP = timedelta(milliseconds=150)
 HOLD = timedelta(
     milliseconds=400
