Jobs wait for others: release by stored ends, cancellation of all that follows, smaller limits

waitsOn is kept in the job's record. The leader releases a job when the ends of all that it needs are stored as done, and cancels it with any of them; a successor finds the same from the records. The last job's remaining time is divided among the stages. New jobs get pages that fit the lesser of the present limits and those to come.

--- /dev/null
+++ b/dappledrum/chains/__init__.py
@@ -0,0 +1,2 @@
+"""Jobs that wait for others: which do, when they are released, and what a cancellation takes
+along."""
--- /dev/null
+++ b/dappledrum/chains/graph.py
@@ -0,0 +1,149 @@
+"""Who waits for whom among the live jobs, in the memory of one term.
+
+Nothing rests on this memory: it follows from the records of live jobs and of those that are over,
+so a successor finds the same. A job is released only when the ends of all that it needs are
+*stored* as done; the report of a last task is not enough, since a cancellation on another
+controller may still win the record. And a job is cancelled with another only when that one's
+cancellation is stored.
+"""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
+from typing import NamedTuple
+
+from dappledrum.jobs.messages import EndedRecord, Outcome
+from dappledrum.jobs.record import Job, Page
+
+log = logging.getLogger(__name__)
+
+KEPT = 10_000  # outcomes of jobs that are over
+SHOWN = 8  # names in a line of the log
+
+
+class Past(NamedTuple):
+    """What matters of a job that is over."""
+
+    outcome: Outcome
+    at: datetime | None  # None: a version that does not say has written the end
+    depth: int
+
+
+def shown(names: Iterable[str]) -> str:
+    """Some of the names, for the log."""
+    ordered = sorted(names)
+    more = f" and {len(ordered) - SHOWN} more" if len(ordered) > SHOWN else ""
+    return ", ".join(ordered[:SHOWN]) + more
+
+
+class Graph:
+    """One for each term of leadership."""
+
+    def __init__(
+        self,
+        jobs: dict[str, Job],
+        mark: Callable[[Page], None],
+        wake: Callable[[str], None],
+    ) -> None:
+        self.jobs = jobs
+        self.mark = mark
+        self.wake = wake
+        self.followers: dict[str, dict[str, None]] = {}  # live jobs that wait for each job
+        self.past: OrderedDict[str, Past] = OrderedDict()
+        self.unknown: dict[str, None] = {}  # needed, neither live nor known to be over: to be read
+
+    def clear(self) -> None:
+        """The records are read anew."""
+        self.followers.clear()
+        self.past.clear()
+        self.unknown.clear()
+
+    def add(self, job: Job) -> None:
+        """A live job has become known."""
+        self.unknown.pop(job.id, None)
+        for need in sorted(job.unmet):
+            self.followers.setdefault(need, {})[job.id] = None
+        for need in sorted(job.unmet):
+            live, past = self.jobs.get(need), self.past.get(need)
+            if live is not None:
+                job.depth = max(job.depth, live.depth + 1)
+                if live.cancelled:
+                    self._take_along(live)
+            elif past is not None:
+                self._settle(need, job, past)
+            else:
+                self.unknown[need] = None
+        if job.unmet and not job.cancelled:
+            log.info("%s waits for %s", job.id, shown(job.unmet))
+        if job.cancelled:
+            self.cancelled(job)
+
+    def cancelled(self, job: Job) -> None:
+        """A job's cancellation is stored, by whomever."""
+        self._take_along(job)
+
+    def ended(self, job: Job) -> None:
+        """A job's end is stored."""
+        record = job.ended_record()
+        for need in job.unmet:
+            self._unlink(need, job.id)
+        self.settle(job.id, record, job.depth)
+
+    def settle(self, name: str, record: EndedRecord, depth: int = 0) -> None:
+        """The end of a job is known to be stored."""
+        at = None if record.at_ms is None else datetime.fromtimestamp(record.at_ms / 1000, UTC)
+        past = self.past[name] = Past(record.state, at, depth)
+        while len(self.past) > KEPT:
+            self.past.popitem(last=False)
+        self.unknown.pop(name, None)
+        for follower in list(self.followers.get(name, ())):
+            job = self.jobs.get(follower)
+            if job is not None:
+                self._settle(name, job, past)
+        self.followers.pop(name, None)
+
+    def _unlink(self, need: str, follower: str) -> None:
+        waiting = self.followers.get(need)
+        if waiting is not None:
+            waiting.pop(follower, None)
+            if not waiting:
+                self.followers.pop(need)
+                self.unknown.pop(need, None)
+
+    def _settle(self, need: str, job: Job, past: Past) -> None:
+        if past.outcome is Outcome.CANCELLED:
+            self._cancel(job, need)
+            self._take_along(job)
+            return
+        job.unmet.discard(need)
+        job.depth = max(job.depth, past.depth + 1)
+        if past.at is not None:
+            # Without a time, the end was before the job came: then its times count from there.
+            job.begun_at = max(job.begun_at, past.at)
+        self._unlink(need, job.id)
+        if not job.unmet and not job.cancelled:
+            waited = (job.begun_at - job.accepted_at).total_seconds()
+            log.info("%s is released %.1f s after it came: all it needs is done", job.id, waited)
+            self.wake("job released")
+
+    def _take_along(self, first: Job) -> None:
+        """Cancel all that need a job, directly or not; never recursive, as chains may be long."""
+        stack = [first]
+        while stack:
+            job = stack.pop()
+            for name in list(self.followers.get(job.id, ())):
+                follower = self.jobs.get(name)
+                if follower is not None and not follower.cancelled:
+                    self._cancel(follower, job.id)
+                    stack.append(follower)
+
+    def _cancel(self, job: Job, need: str) -> None:
+        if job.cancelled:
+            return
+        job.cancelled = True
+        log.info("%s is cancelled with %s, which it needs", job.id, need)
+        if job.on_machines():
+            job.page(0).touch()  # else it ends at once, and no head is written
+        self.mark(job.page(0))
+        self.wake("job cancelled")
--- /dev/null
+++ b/dappledrum/chains/lookup.py
@@ -0,0 +1,87 @@
+"""Whether the jobs that a submission names were accepted.
+
+That a job was accepted stays true, so a controller may answer it from memory; that it was not is
+only said after a read that began after the request came in. One comparing transaction asks for
+many names at once, and for both keys of each: a job that moves from the live ones to the ended
+ones meanwhile is found at either.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Collection
+from datetime import timedelta
+
+from dappledrum.jobs.messages import Form, JobRecord
+from dappledrum.jobs.record import ended_key, head_key
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import ConflictError, RefusedError, State
+from dappledrum.state.messages import Guard
+
+KEPT = 20_000
+PATIENCE = timedelta(seconds=1)
+SINGLE = 4  # up to so many heads are read one by one, more from the list of all live ones
+
+
+class Lookup:
+    """One for each controller."""
+
+    def __init__(
+        self,
+        state: State,
+        most_guards: int,
+        read: Callable[[str], Awaitable[JobRecord | None]],
+        read_many: Callable[[set[str]], Awaitable[dict[str, tuple[JobRecord, int]]]],
+    ) -> None:
+        self.state = state
+        self.most_names = max(1, most_guards // 2)
+        self.read = read
+        self.read_many = read_many
+        self.arrays: OrderedDict[str, None] = OrderedDict()  # accepted, and not services
+
+    def note(self, job: str, form: Form) -> None:
+        """A job is known to be accepted."""
+        if form is Form.ARRAY:
+            self.arrays[job] = None
+            self.arrays.move_to_end(job)
+            while len(self.arrays) > KEPT:
+                self.arrays.popitem(last=False)
+
+    async def fault(self, needs: Collection[str], own: str) -> str | None:
+        """Why a job can't wait for these, or None when it can."""
+        if own in needs:
+            return "a job can't wait for itself"
+        names = sorted(need for need in needs if need not in self.arrays)
+        live: set[str] = set()
+        for first in range(0, len(names), self.most_names):
+            batch = names[first : first + self.most_names]
+            found = await self._existing(batch)
+            for name in batch:
+                if not found & {head_key(name), ended_key(name)}:
+                    return f"waits for {name}, which was never accepted"
+                if head_key(name) in found:
+                    live.add(name)
+                else:
+                    self.note(name, Form.ARRAY)  # nobody waits for a service that is over
+        for name, form in (await self._forms(live)).items():
+            if form is Form.SERVICE:
+                return f"waits for {name}, which is a service and never done"
+            self.note(name, form)
+        return None
+
+    async def _existing(self, names: Collection[str]) -> set[str]:
+        if self.state.busy_for(Rank.INTAKE) > PATIENCE / 2:
+            raise RefusedError("over the share of requests")
+        guards = [Guard(key(name), 0) for name in names for key in (head_key, ended_key)]
+        try:
+            await self.state.commit(guards, [], Rank.INTAKE, PATIENCE)
+        except ConflictError as error:
+            return set(error.failed)
+        return set()
+
+    async def _forms(self, names: set[str]) -> dict[str, Form]:
+        """Forms of live jobs; those that have ended meanwhile are left out."""
+        if len(names) > SINGLE:
+            many = await self.read_many(names)
+            return {name: record.spec.form for name, (record, _) in many.items()}
+        records = await asyncio.gather(*(self.read(name) for name in names))
+        return {record.spec.id: record.spec.form for record in records if record is not None}
--- /dev/null
+++ b/dappledrum/chains/resolver.py
@@ -0,0 +1,74 @@
+"""Reads how jobs ended that others need, where this term has not seen it."""
+
+import asyncio
+import logging
+from datetime import timedelta
+
+import msgspec
+
+from dappledrum.chains.graph import Graph, shown
+from dappledrum.clock import Clock
+from dappledrum.jobs.messages import EndedRecord
+from dappledrum.jobs.record import ended_key, head_key
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import State, StateError
+
+log = logging.getLogger(__name__)
+
+AT_ONCE = 8
+LOOK = timedelta(milliseconds=100)
+AGAIN = timedelta(seconds=1)
+AGAIN_MOST = timedelta(seconds=30)
+
+
+class Resolver:
+    """One for each term of leadership."""
+
+    def __init__(self, state: State, graph: Graph, clock: Clock) -> None:
+        self.state = state
+        self.graph = graph
+        self.clock = clock
+        self.tries: dict[str, tuple[timedelta, int]] = {}  # when to look again, how often before
+
+    async def run(self) -> None:
+        """Look for as long as anything is unknown."""
+        while True:
+            await self.look()
+            await asyncio.sleep(LOOK.total_seconds())
+
+    async def look(self) -> None:
+        """One round over what is unknown now."""
+        now = self.clock.now()
+        unknown = self.graph.unknown
+        self.tries = {name: held for name, held in self.tries.items() if name in unknown}
+        due = [name for name in unknown if self.tries.get(name, (now, 0))[0] <= now]
+        for first in range(0, len(due), AT_ONCE):
+            await asyncio.gather(*(self._read(name) for name in due[first : first + AT_ONCE]))
+
+    async def _read(self, name: str) -> None:
+        try:
+            # The live key first, as jobs move from there to the other only.
+            live = await self.state.get(head_key(name), Rank.RECORD)
+            entry = await self.state.get(ended_key(name), Rank.RECORD) if live is None else None
+            if entry is not None:
+                self.graph.settle(name, msgspec.json.decode(entry.value, type=EndedRecord))
+                return
+        except StateError as error:
+            log.info("%s not read: %s", name, error)
+            return
+        except msgspec.DecodeError as error:
+            log.error("unusable record of %s, what needs it stays pending: %s", name, error)
+            self._later(name, 1)
+            return
+        if live is not None:
+            self._later(name, 0)  # the watch will tell of it
+            return
+        if name not in self.tries:
+            waiting = shown(self.graph.followers.get(name, ()))
+            log.error("%s has no record, what needs it stays pending: %s", name, waiting)
+        self._later(name, 1)
+
+    def _later(self, name: str, grown: int) -> None:
+        count = self.tries.get(name, (self.clock.now(), 0))[1] + grown
+        pause = min(AGAIN * 2 ** min(count, 6), AGAIN_MOST)
+        self.tries[name] = (self.clock.now() + pause, count)
--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -13,9 +13,10 @@
 from dappledrum.jobs.intake import allowed
 from dappledrum.jobs.messages import RANKS, Form, Priority
 from dappledrum.jobs.record import Job, Page, Placement
-from dappledrum.scheduling.deadlines import next_deadline, stage_deadlines
+from dappledrum.scheduling.chains import Link, Stage, stages
+from dappledrum.scheduling.deadlines import closing_deadlines, next_deadline, stage_deadlines
 from dappledrum.scheduling.estimates import Estimates
-from dappledrum.scheduling.lanes import Kind, Lanes, Size
+from dappledrum.scheduling.lanes import Kind, Lanes, Size, fetch_time
 from dappledrum.scheduling.plan import Bag, Offer, Plan, Planner, TeamRoom
 from dappledrum.scheduling.preempt import Host, Victim, choose
 from dappledrum.settings import Params
@@ -72,6 +73,8 @@
         self.tuning = tuning
         self.mark = mark
         self.backlog = backlog
+        self.stages: dict[str, Stage] = {}  # of jobs that wait for others or are waited for
+        self.ring: set[str] = set()  # jobs that wait for each other, for ever
         self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
         self.awake_since = ZERO
         self.idle_at = -IDLE_EVERY
@@ -89,6 +92,7 @@
         """
         self.awake_since = self.keeper.awake_since()
         now = self.clock.now()
+        self._chain()
         self.guaranteed = self._guaranteed()
         self.moments = {}
         lanes = [
@@ -140,6 +144,45 @@
             return self.tuning.interval * 10
         return self.estimates.task_time(job.id, job.spec.job_class, job.spec.estimate)
 
+    def _chain(self) -> None:
+        """What follows for each job from those that need it, directly or not."""
+        waiting = [job for job in self.jobs.values() if job.unmet]
+        links = {}
+        for name in dict.fromkeys(name for job in waiting for name in (job.id, *job.unmet)):
+            job = self.jobs.get(name)
+            if job is None or job.cancelled or job.over:
+                continue
+            links[name] = Link(
+                job.unmet,
+                job.depth,
+                self.task_time(job) + self._fetch(job),
+                self._closing(job),
+                RANKS[job.spec.priority],
+                job.spec.tasks - job.done,
+                0 if job.unmet else job.waiting(),
+            )
+        self.stages, ring = stages(links, OPTIMISM)
+        if ring - self.ring:
+            log.error("these wait for each other, and stay pending: %s", ", ".join(sorted(ring)))
+        self.ring = ring
+        for job in self.jobs.values():
+            stage = self.stages.get(job.id)
+            job.rank = RANKS[job.spec.priority] if stage is None else stage.rank
+
+    def _fetch(self, job: Job) -> timedelta:
+        """What an image that is missing adds, on the machines that fetch it fastest."""
+        rates = [m.fetch_gb_per_s for m in self.keeper.types.values() if allowed(job.spec, m)]
+        return fetch_time(job.spec.image_gb, max(rates, default=1.0))
+
+    def _closing(self, job: Job) -> list[timedelta]:
+        """The owner's deadlines, from now on."""
+        own = None if job.spec.deadline_s is None else timedelta(seconds=job.spec.deadline_s)
+        age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
+        return [
+            limit - age
+            for limit in closing_deadlines(self.params.objectives, job.spec.job_class, own)
+        ]
+
     def _lanes(self, machine: Machine, now: timedelta) -> Lanes | None:
         kind = machine.kind
         model = self.keeper.types.get(kind.type) if kind is not None else None
@@ -210,7 +253,7 @@
             if bag is None:
                 continue
             spec = job.spec
-            if spec.tasks > SMALL or bag.held or spec.one_zone or spec.spread:
+            if spec.tasks > SMALL or bag.held or bag.unready or spec.one_zone or spec.spread:
                 result.append(bag)
                 continue
             likeness = (
@@ -235,14 +278,20 @@
     def _bag(self, job: Job, now: timedelta) -> Bag | None:
         spec = job.spec
         ready = min(job.waiting(), MOST_READY)
-        if ready <= 0 or job.cancelled or job.over or now < job.retry_at:
+        if ready <= 0 or job.cancelled or job.over or now < job.retry_at or job.unmet:
             return None
         held = suspected(job)
         if held and any(not p.lost for p in job.placements()):
             return None  # what runs already will tell
         run = self.task_time(job)
-        own = None if spec.deadline_s is None else timedelta(seconds=spec.deadline_s)
-        limits = stage_deadlines(self.params.objectives, spec.job_class, own, run)
+        today = self.clock.today()
+        waited = max(today - job.begun_at, ZERO)
+        age = waited + self.params.workers.report
+        expected = stage_deadlines(self.params.objectives, spec.job_class, run)
+        limits = sorted([limit - age for limit in expected] + self._closing(job))
+        stage = self.stages.get(job.id)
+        if stage is not None and stage.due is not None:
+            limits = sorted([*limits, stage.due])
         idle = self._is_idle(job)
         if idle:
             ready = min(ready, int(self.idle_cpus / max(spec.cpus, 0.1)))
@@ -250,26 +299,27 @@
                 return None
             self.idle_cpus -= ready * spec.cpus
         if not limits:
-            limits = [
+            patience = (
                 run + timedelta(seconds=30)
                 if spec.form is Form.SERVICE
                 else run * 4 + self.tuning.interval
-            ]
-        age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
-        limit = next_deadline(limits, age + run * OPTIMISM)
+            )
+            limits = [patience - age]
+        limit = next_deadline(limits, run * OPTIMISM)
         if idle:
-            age, limit = ZERO, ZERO  # as soon as there is room, however long it has waited
+            limit = ZERO  # as soon as there is room, however long it has waited
         # Too late for everything: what can still be in time goes first, and nothing dear is rented
         # for it.
         missed = limit is None or idle
-        due = now + (limits[-1] if limit is None else limit) - age
+        due = now + (limits[-1] if limit is None else limit)
         zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
         return Bag(
             id=job.id,
             size=Size(spec.cpus, spec.gpus, spec.memory_gb),
             ready=1 if held else ready,
-            unready=0,
-            total=spec.tasks,
+            unready=0 if stage is None else stage.tasks - stage.ready,
+            beside=0 if stage is None else max(0, stage.ready - job.waiting()),
+            total=spec.tasks if stage is None else stage.tasks,
             run=run,
             due=due,
             image=spec.image,
@@ -284,7 +334,7 @@
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
             held=held,
-            waited=max(self.clock.today() - job.accepted_at, ZERO),
+            waited=waited,
             thrifty=missed,
             idle=idle,
         )
@@ -292,7 +342,7 @@
     def _rank(self, job: Job, missed: int, latest_start: timedelta) -> tuple[float, ...]:
         """What comes before the paper's order: guarantees, then what can still be in time, then
         high urgency, which could preempt the rest anyway, then the least slack."""
-        urgency = RANKS[job.spec.priority]
+        urgency = job.rank
         guaranteed = job.id in self.guaranteed
         return (
             not guaranteed,
@@ -306,10 +356,11 @@
         """Nobody expects the job by any time: low urgency, no deadline, no objective."""
         spec = job.spec
         return (
-            spec.priority is Priority.LOW
+            job.rank == RANKS[Priority.LOW]
             and spec.form is Form.ARRAY
             and spec.deadline_s is None
-            and not stage_deadlines(self.params.objectives, spec.job_class, None, ZERO)
+            and (job.id not in self.stages or self.stages[job.id].due is None)
+            and not stage_deadlines(self.params.objectives, spec.job_class, ZERO)
         )
 
     def _idle_room(self, lanes: list[Lanes]) -> float:
@@ -403,7 +454,7 @@
                 continue
             cpus = gpus = 0.0
             for job in self._in_order():
-                if job.spec.team != team.name or job.cancelled or job.over:
+                if job.spec.team != team.name or job.cancelled or job.over or job.unmet:
                     continue
                 left = job.spec.tasks - job.done
                 cpus += job.spec.cpus * left
@@ -484,7 +535,7 @@
         guaranteed = self.guaranteed
         # High urgency may stop lower work, too, but what it gained the stopped work lost twice;
         # unless the work keeps its progress, and nobody waits for it.
-        gentle = job.id not in guaranteed and job.spec.priority is not Priority.PRODUCTION
+        gentle = job.id not in guaranteed and job.rank != RANKS[Priority.PRODUCTION]
         if gentle and not self.yielding:
             return
         # Stopping takes a report to be told, and one to be seen.
@@ -526,7 +577,7 @@
         """Whether the protocol lets a task of the one job be stopped for the other."""
         if other.id in guaranteed and job.id not in guaranteed:
             return False
-        if RANKS[other.spec.priority] > RANKS[job.spec.priority]:
+        if other.rank > job.rank:
             return True
         return (
             job.id in guaranteed
@@ -552,13 +603,13 @@
         machine = self.roster.get(name)
         if machine is None or machine.kind is None or not machine.usable:
             return 0
-        if job is None or job.cancelled or job.over:
+        if job is None or job.cancelled or job.over or job.unmet:
             return 0
-        if RANKS[job.spec.priority] >= RANKS[Priority.LOW] and self._records_late():
+        if job.rank >= RANKS[Priority.LOW] and self._records_late():
             return 0  # room held for a start that can't be recorded yet is room lost
         asked = count
         today = self.clock.today()
-        limit = int(self.params.state.value_kb * 1024)
+        limit = self.params.state.value_bytes
         for page in job.free_tasks():
             bound, row = page.size_bound(name, today), page.row_bound(today)
             for task in page.free():
--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -32,13 +32,13 @@
     """Writes the record when it has changed, for one term."""
 
     def __init__(
-        self, state: State, term: Term, roster: Roster, clock: Clock, value_kb: float
+        self, state: State, term: Term, roster: Roster, clock: Clock, value_bytes: int
     ) -> None:
         self.state = state
         self.term = term
         self.roster = roster
         self.clock = clock
-        self.most = int(value_kb * 1024 / NAME_BYTES)
+        self.most = value_bytes // NAME_BYTES
         self.stored: FleetRecord | None = None
 
     def _record(self) -> FleetRecord:
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from dappledrum.chains.lookup import Lookup
 from dappledrum.clock import Clock
 from dappledrum.fleet.messages import MachineType
 from dappledrum.http.server import Response
@@ -27,7 +28,7 @@
     Spec,
 )
 from dappledrum.jobs.polls import Found, Polls, Seen, seen
-from dappledrum.jobs.record import PAGE, ended_key, head_key
+from dappledrum.jobs.record import ended_key, head_key, page_size
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import ConflictError, RefusedError, State, StateError, raw
@@ -85,16 +86,21 @@
 class Intake:
     """Submissions, polls and cancellations."""
 
-    def __init__(self, state: State, params: Params, clock: Clock) -> None:
+    def __init__(
+        self, state: State, params: Params, clock: Clock, accepted_bytes: int | None = None
+    ) -> None:
         self.state = state
         self.params = params
         self.clock = clock
+        # What was once accepted is never refused, so this doesn't shrink with a smaller limit.
+        self.accepted_bytes = accepted_bytes or params.state.value_bytes
         self.types: list[MachineType] | None = None
         self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
         self.admission = Admission(state, params.state.txn_ops)
         self.polls = Polls(
             state, params.state.txn_ops * 4, self.find, self._find_many, self._find_ended
         )
+        self.lookup = Lookup(state, params.state.txn_ops * 4, self._read_live, self._find_many)
 
     def remember(self, job: str, record: EndedRecord) -> None:
         """Keep a final state; it never changes again."""
@@ -108,11 +114,9 @@
             spec = msgspec.json.decode(body, type=Spec)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             return refusal(HTTPStatus.BAD_REQUEST, str(error))
-        if (
-            spec.types is not None
-            and len(msgspec.json.encode(spec)) > self.params.state.value_kb * 256
-        ):
-            return refusal(HTTPStatus.BAD_REQUEST, "list of machine types too long")
+        if spec.needs is not None:
+            needs = list(dict.fromkeys(spec.needs)) or None
+            spec = msgspec.structs.replace(spec, needs=needs)
         if spec.id in self.ended:
             return self._present(spec.id, self.ended[spec.id], HTTPStatus.OK)
         try:
@@ -122,27 +126,19 @@
             return busy()
 
     async def _submit(self, spec: Spec) -> Response:
-        types = (
-            self.types
-        )  # they may be learned while we wait below: judge by what was known at the beginning
-        why = (
-            unservable(spec, self.params, types)
-            if types is not None
-            else "machine types not known yet"
-        )
-        if why is not None:
+        objection = await self._objection(spec)
+        if objection is not None:
             # Accepted once means accepted for ever, so look before refusing.
             found = await self.find(spec.id, Rank.INTAKE)
-            if found is not None:
-                return self._present(spec.id, found, HTTPStatus.OK)
-            return busy(2) if types is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
+            return objection if found is None else self._present(spec.id, found, HTTPStatus.OK)
         if self.admission.full():
             return busy()
-        page = PageRecord()
-        record = JobRecord(spec, round(self.clock.today().timestamp() * 1000), PAGE, page)
+        size = page_size(spec, self.params.state.value_bytes)
+        record = JobRecord(spec, round(self.clock.today().timestamp() * 1000), size, PageRecord())
         try:
             version = await self.admission.admit(spec.id, Put(head_key(spec.id), raw(record)))
             self.polls.note(spec.id, seen(record), version)
+            self.lookup.note(spec.id, spec.form)
         except ConflictError:
             found = await self.find(spec.id, Rank.INTAKE)
             return busy() if found is None else self._present(spec.id, found, HTTPStatus.OK)
@@ -151,6 +147,27 @@
         )
         return answer(HTTPStatus.CREATED, Answer(spec.id, Outcome.QUEUED))
 
+    async def _objection(self, spec: Spec) -> Response | None:
+        """The answer to a job that can't be taken, unless it was accepted before."""
+        if self.types is None:
+            return busy(2)
+        if (why := self._too_long(spec)) is not None:
+            return refusal(HTTPStatus.BAD_REQUEST, why)
+        why = unservable(spec, self.params, self.types)
+        if why is None and spec.needs:
+            why = await self.lookup.fault(spec.needs, spec.id)
+        return None if why is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
+
+    def _too_long(self, spec: Spec) -> str | None:
+        """A specification must fit into a record, beside the progress."""
+        if (
+            spec.types is not None
+            and len(msgspec.json.encode(msgspec.structs.replace(spec, needs=None)))
+            > self.accepted_bytes // 4
+        ):
+            return "list of machine types too long"
+        return None
+
     async def poll(self, job: str) -> Response:
         """GET /submissions/{id}."""
         known = self.ended.get(job)
@@ -201,6 +218,11 @@
             return self._decode(entry.value, JobRecord), entry.version
         return await self._find_ended(job, rank)
 
+    async def _read_live(self, job: str) -> JobRecord | None:
+        """Read the head of a live job."""
+        entry = await self.state.get(head_key(job), Rank.INTAKE, READ_PATIENCE)
+        return None if entry is None else self._decode(entry.value, JobRecord)
+
     def _affordable(self, rank: Rank) -> None:
         if self.state.busy_for(rank) > READ_PATIENCE / 2:
             raise RefusedError("over the share of requests")
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -47,6 +47,7 @@
 class Spec(
     msgspec.Struct,
     frozen=True,
+    omit_defaults=True,
     rename={
         "job_class": "pattern",
         "team": "crew",
@@ -65,6 +66,7 @@
         "checkpoint_s": "markEveryS",
         "save_s": "markTakeS",
         "deadline_s": "dueS",
+        "needs": "waitsOn",
     },
 ):
     """A submission."""
@@ -89,6 +91,7 @@
     types: Annotated[list[Label], Meta(max_length=64)] | None = None
     zone: Label | None = None
     deadline_s: Amount | None = None
+    needs: list[JobId] | None = None  # jobs that have to be done before any task starts
 
     @property
     def estimate(self) -> timedelta:
@@ -137,6 +140,9 @@
     cancelled: bool = False
     done: int = 0  # tasks done in all pages
     running: int = 0  # tasks on machines in all pages
+    # When all that it needs was done. Versions up to 0.2.0 drop it when they write a record again;
+    # only jobs that need others have it, and those come when no such version serves any more.
+    begun_ms: int | None = None
 
 
 class EndedRecord(msgspec.Struct):
@@ -144,3 +150,4 @@
 
     state: Outcome
     tasks: int
+    at_ms: int | None = None  # when; versions up to 0.2.0 do not say
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -11,10 +11,21 @@
 
 import msgspec
 
-from dappledrum.clock import ZERO, seconds
-from dappledrum.jobs.messages import EndedRecord, Form, JobRecord, Outcome, PageRecord, Spec
-
-PAGE = 256
+from dappledrum.clock import ZERO
+from dappledrum.jobs.messages import (
+    RANKS,
+    EndedRecord,
+    Form,
+    JobRecord,
+    Outcome,
+    PageRecord,
+    Spec,
+)
+
+PAGE = 256  # tasks, at most
+LEAST_PAGE = 8
+ROW = 30  # bytes that a task on a machine of its own usually takes
+FRAME = 220  # bytes of a head besides its specification, its bitmap and its rows
 
 
 def head_key(job: str) -> str:
@@ -22,6 +33,13 @@
     return f"job/{job}"
 
 
+def page_size(spec: Spec, value_bytes: int) -> int:
+    """Tasks in a page of a new job: as many as fit into a value when each is on a machine of its
+    own, beside the specification in the head, so that no task waits for room in a record."""
+    room = value_bytes - len(msgspec.json.encode(spec)) - FRAME
+    return min(PAGE, max(LEAST_PAGE, room * 4 // (ROW * 4 + 1)))
+
+
 def page_key(job: str, index: int) -> str:
     """Key of a further page of a live job."""
     return f"page/{job}/{index}"
@@ -139,7 +157,7 @@
         zones = sum(len(zone) + 3 for zone in {p.zone for p in self.places.values()})
         spec = self.job.spec_bytes if self.index == 0 else 0
         rows = self.row_bound(now) * (len(self.places) + 1)
-        return spec + 300 + self.count // 4 + heads + sessions + zones + rows
+        return spec + FRAME + self.count // 4 + heads + sessions + zones + rows
 
     def place(self, task: int, machine: str, session: int, zone: str, now: datetime) -> Placement:
         """Count a task as on a machine, before its start may be sent."""
@@ -218,6 +236,15 @@
         self.id = record.spec.id
         self.page_size = record.size
         self.accepted_at = datetime.fromtimestamp(record.at_ms / 1000, UTC)
+        # What it needs and is not stored as done yet: nothing of it may start before.
+        self.unmet: set[str] = set(record.spec.needs or ()) if record.begun_ms is None else set()
+        # From when its times count, its deadline apart: when the last job that it needs was done.
+        self.begun_at = self.accepted_at
+        if record.begun_ms is not None:
+            self.begun_at = datetime.fromtimestamp(record.begun_ms / 1000, UTC)
+        self.depth = 0  # of the jobs that it needs, longest way
+        self.rank = RANKS[record.spec.priority]  # its own, or that of a job that needs it
+        self.ended_at: datetime | None = None  # found to be over, stored or not
         self.cancelled = record.cancelled
         self.done = 0
         self.spec_bytes = len(msgspec.json.encode(record.spec))
@@ -289,16 +316,22 @@
         """Stored form of the head."""
         at_ms = round(self.accepted_at.timestamp() * 1000)
         page = self.page(0).to_record()
+        begun_ms = None
+        if self.spec.needs and not self.unmet:
+            begun_ms = round(self.begun_at.timestamp() * 1000)
         return JobRecord(
-            self.spec, at_ms, self.page_size, page, self.cancelled, self.done, self.on_machines()
+            self.spec,
+            at_ms,
+            self.page_size,
+            page,
+            self.cancelled,
+            self.done,
+            self.on_machines(),
+            begun_ms,
         )
 
     def ended_record(self) -> EndedRecord:
         """Stored form of the job when it is over."""
         state = Outcome.CANCELLED if self.cancelled else Outcome.DONE
-        return EndedRecord(state, self.spec.tasks)
-
-    def deadline(self) -> datetime | None:
-        """The owner's deadline."""
-        due = self.spec.deadline_s
-        return None if due is None else self.accepted_at + seconds(due)
+        at_ms = None if self.ended_at is None else round(self.ended_at.timestamp() * 1000)
+        return EndedRecord(state, self.spec.tasks, at_ms)
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from dappledrum.clock import Clock
-from dappledrum.jobs.messages import RANKS, JobRecord
+from dappledrum.jobs.messages import JobRecord
 from dappledrum.jobs.record import Job, Page, ended_key, head_key
 from dappledrum.leadership.elector import LEADER, Term
 from dappledrum.settings import StateLimits
@@ -44,6 +44,7 @@
         self.saved = asyncio.Condition()
         self.on_saved: Callable[[], None] = lambda: None
         self.on_ended: Callable[[Job], None] = lambda job: None
+        self.on_cancelled: Callable[[Job], None] = lambda job: None
 
     def mark(self, page: Page) -> None:
         """A page has changed, or its job is over."""
@@ -51,6 +52,7 @@
         if job.over:
             return
         if job.complete() or (job.cancelled and not job.on_machines()):
+            job.ended_at = job.ended_at or self.clock.today()
             self.ending[job] = None
         elif page.dirty:
             now = self.clock.now()
@@ -106,7 +108,7 @@
         now = self.clock.now()
         urgent = [p for p, since in self.dirty.items() if p.starts > p.saved or now - since > LAZY]
         # Starts of urgent jobs before others': a swarm of small jobs must not delay them.
-        urgent.sort(key=lambda page: (page.starts <= page.saved, RANKS[page.job.spec.priority]))
+        urgent.sort(key=lambda page: (page.starts <= page.saved, page.job.rank))
         spare = min(room, int(self.state.writes.level - 0.5 * self.state.writes.size))
         hurried = set(urgent)
         lazy = [page for page in self.dirty if page not in hurried][: max(0, spare)]
@@ -195,6 +197,7 @@
             ):
                 job.cancelled = True
                 log.info("%s was cancelled meanwhile", job.id)
+                self.on_cancelled(job)
         elif page.index == 0:
             self._ended(job)  # only this leader's own ending removes a head
             await self._tell()
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from dappledrum.chains.graph import Graph
+from dappledrum.chains.resolver import Resolver
 from dappledrum.clock import ZERO, Clock
 from dappledrum.dispatch import Dispatcher, Tuning
 from dappledrum.fleet.cloud import Cloud
@@ -77,6 +79,9 @@
         self.estimates = Estimates()
         self.recorder = Recorder(state, term, params.state, clock)
         self.recorder.on_ended = self._ended
+        self.graph = Graph(self.jobs, self.recorder.mark, self.wake)
+        self.recorder.on_cancelled = self.graph.cancelled
+        self.resolver = Resolver(state, self.graph, clock)
         self.bookkeeper = Bookkeeper(
             self.jobs,
             self.roster,
@@ -99,7 +104,7 @@
             self.wake,
             awake_since,
         )
-        self.memory = FleetMemory(state, term, self.roster, clock, params.state.value_kb)
+        self.memory = FleetMemory(state, term, self.roster, clock, params.state.value_bytes)
         self.set_types(types)
         self.dispatcher = Dispatcher(
             self.jobs,
@@ -134,6 +139,7 @@
             self._guard(self.recorder.run),
             self._guard(self._plan),
             self._guard(self._sweep),
+            self._guard(self._resolve),
             self._guard(self._remember),
             self._guard(self.keeper.rent_loop),
             self._guard(self.keeper.return_loop),
@@ -168,6 +174,7 @@
         jobs, revision = await self.state.scan(JOBS, Rank.RECORD)
         pages, _ = await self.state.scan(PAGES, Rank.RECORD)
         self.jobs.clear()
+        self.graph.clear()
         for entry in jobs:
             record = msgspec.json.decode(entry.value, type=JobRecord)
             self.jobs[record.spec.id] = Job(record, entry.version)
@@ -183,7 +190,8 @@
         for job in self.jobs.values():
             self.bookkeeper.restore(job)
         await self.memory.recall()
-        for job in self.jobs.values():
+        for job in list(self.jobs.values()):
+            self.graph.add(job)
             self.recorder.mark(job.page(0))
         self.revision = revision
         self.loaded.set()
@@ -218,17 +226,20 @@
         if job is None:
             job = self.jobs[name] = Job(record, version)
             log.info("new job %s: %d tasks of %s", name, job.spec.tasks, job.spec.job_class)
+            self.graph.add(job)
         else:
             job.page(0).version = version
             if record.cancelled and not job.cancelled:
                 job.cancelled = True
                 log.info("%s is cancelled", name)
+                self.graph.cancelled(job)
         self.recorder.mark(job.page(0))
         self.wake("job changed")
 
     def _ended(self, job: Job) -> None:
         log.info("%s is %s", job.id, job.ended_record().state)
         self.jobs.pop(job.id, None)
+        self.graph.ended(job)
         self.estimates.forget(job.id)
         self.over[job.id] = None
         while len(self.over) > KEPT_OVER:
@@ -263,6 +274,10 @@
         await self.loaded.wait()
         await self.memory.run()
 
+    async def _resolve(self) -> None:
+        await self.loaded.wait()
+        await self.resolver.run()
+
     async def _sweep(self) -> None:
         await self.loaded.wait()
         while True:
--- a/dappledrum/model/test_rules.py
+++ b/dappledrum/model/test_rules.py
@@ -91,6 +91,35 @@
     r.poll_answer(2, "j-000001", 200, "cancelled")
 
 
+def too_early(r):
+    r.started(1, "m1", HERE, "j-000007", 0)
+
+
+def released_by_a_cancelled_job(r):
+    r.started(1, "m1", HERE, "j-000001", 0)
+    r.ended("m1", "j-000001", 0, True)
+    r.cancel_asked("j-000001")
+    r.poll_answer(2, "j-000001", 200, "cancelled")
+    r.started(3, "m1", HERE, "j-000007", 0)
+
+
+def orphaned(r):
+    r.cancel_asked("j-000001")
+    r.poll_answer(2, "j-000001", 200, "cancelled")
+    r.poll_answer(31, "j-000008", 200, "pending")
+    r.poll_answer(32, "j-000008", 200, "cancelled")
+    assert not r.broken
+    r.poll_answer(33, "j-000007", 200, "pending")
+
+
+def cancelled_though_done_before(r):
+    r.started(1, "m1", HERE, "j-000001", 0)
+    r.ended("m1", "j-000001", 0, True)
+    r.cancel_asked("j-000001")
+    r.poll_answer(2, "j-000001", 200, "done")
+    r.poll_answer(3, "j-000008", 200, "cancelled")
+
+
 SPECS = [
     job(1, beats=1),
     job(2, crew="red"),
@@ -98,6 +127,8 @@
     job(4, loaners=False),
     job(5, oneZone=True),
     job(6, spread=True),
+    job(7, waitsOn=["j-000001"]),
+    job(8, waitsOn=["j-000007"]),
 ]
 CASES = [
     (ran_twice, "ran_twice"),
@@ -114,6 +145,10 @@
     (not_done, "not_done"),
     (went_back, "went_back"),
     (cancelled_unasked, "went_back"),
+    (too_early, "too_early"),
+    (released_by_a_cancelled_job, "too_early"),
+    (orphaned, "orphaned"),
+    (cancelled_though_done_before, "went_back"),
 ]
 
 
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -67,7 +67,8 @@
         peers: dict[str, Caller],
     ) -> None:
         self.settings = settings
-        self.params = settings.params
+        limits = settings.params.state
+        self.params = msgspec.structs.replace(settings.params, state=limits.binding())
         self.tuning = tuning
         self.clock = clock
         self.rng = rng
@@ -77,7 +78,7 @@
         life = min(LIFE_MOST, self.params.workers.lease / 3)
         self.elector = Elector(settings.member, self.state, clock, rng, life, self.peers.promise)
         self.elector.on_change = self._leadership_changed
-        self.intake = Intake(self.state, self.params, clock)
+        self.intake = Intake(self.state, self.params, clock, limits.value_bytes)
         self.pulse = Pulse(clock)
         self.leader: Leader | None = None
         self.knocks = Knocks()
@@ -174,7 +175,7 @@
             log.info("no catalog: %s", error)
             return []
         value = raw(Catalog(types))
-        if types and len(value) < self.params.state.value_kb * 1000:
+        if types and len(value) < self.params.state.value_bytes:
             try:
                 await self.state.commit([Guard(CATALOG, 0)], [Put(CATALOG, value)], Rank.INTAKE)
             except StateError as error:
--- a/dappledrum/scheduling/deadlines.py
+++ b/dappledrum/scheduling/deadlines.py
@@ -1,35 +1,21 @@
 """When a stage should be complete.
 
-A protocol job is a pipeline of one stage, which gets the whole deadline; `divide` is what splits
-the deadline of a longer pipeline by estimated work (DESIGN). A job without a deadline takes one
-from the objectives of its class.
+A job alone is a pipeline of one stage, which gets the whole deadline; how that of a longer one is
+divided is in `chains.py`. A job without a deadline takes one from the objectives of its class.
 """
 
 from collections.abc import Sequence
 from datetime import timedelta
 
-from dappledrum.clock import ZERO, seconds
+from dappledrum.clock import seconds
 from dappledrum.settings import Objective
 
 
-def divide(deadline: timedelta, work: Sequence[timedelta]) -> list[timedelta]:
-    """Deadlines of consecutive stages, each with a share by its estimated work."""
-    total = sum(work, ZERO)
-    if total <= ZERO:
-        return [deadline] * len(work)
-    result: list[timedelta] = []
-    passed = ZERO
-    for part in work:
-        passed += part
-        result.append(deadline * (passed / total))
-    return result
-
-
 def stage_deadlines(
-    objectives: Sequence[Objective], job_class: str, due: timedelta | None, task_time: timedelta
+    objectives: Sequence[Objective], job_class: str, task_time: timedelta
 ) -> list[timedelta]:
-    """Times from acceptance by which somebody expects the stage to be complete, the earliest
-    first."""
+    """Times by which somebody expects the stage to be complete, counted from the moment when its
+    tasks may start, the earliest first."""
     limits: set[timedelta] = set()
     for objective in objectives:
         if objective.job_class not in (None, job_class):
@@ -38,8 +24,20 @@
             limits.add(seconds(objective.within_s))
         elif objective.kind == "wait" and objective.within_s is not None:
             limits.add(seconds(objective.within_s) + task_time)
-    if due is not None:
-        limits.add(due)
+    return sorted(limits)
+
+
+def closing_deadlines(
+    objectives: Sequence[Objective], job_class: str, due: timedelta | None
+) -> list[timedelta]:
+    """The owner's deadline, counted from the submission, and what is still worth keeping when it
+    is missed."""
+    if due is None:
+        return []
+    limits = {due}
+    for objective in objectives:
+        if objective.kind == "deadline" and objective.job_class in (None, job_class):
+            limits.add(due * max(objective.times or 1.0, 1.0))
     return sorted(limits)
 
 
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -46,7 +46,8 @@
     zone_room: dict[str, int] | None = None  # spread: how many more tasks each zone may take
     team: str = ""
     held: bool = False  # placed only, nothing is rented for it
-    waited: timedelta = ZERO  # since the job was accepted
+    waited: timedelta = ZERO  # since its tasks could start
+    beside: int = 0  # ready tasks of the other jobs of its stage
     thrifty: bool = False  # too late anyway: only the cheaper kind of machine is rented for it
     idle: bool = False  # nobody expects it by any time, so it is never late
 
@@ -149,7 +150,8 @@
 
     def _passes(self, bag: Bag) -> bool:
         """The delay rule: rent once enough of the stage is ready, or all that is left of it."""
-        return bag.unready == 0 or bag.ready / max(1, bag.total) > self.ready_share
+        ready = bag.ready + bag.beside
+        return bag.unready == 0 or ready / max(1, bag.total) > self.ready_share
 
     def _zones(self, bag: Bag, count: int) -> set[str] | None:
         """Zones that the bag may use; None: any."""
--- a/dappledrum/settings.py
+++ b/dappledrum/settings.py
@@ -72,13 +72,44 @@
         return seconds(self.lease_s)
 
 
+Changes = Annotated[int, Meta(ge=4, le=10_000)]
+
+
+class NextLimits(msgspec.Struct, frozen=True):
+    """What the state service will allow from some moment on, without notice; what is left out
+    stays."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Changes | None = None
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     """Rates and sizes that the state service allows."""
 
     rps: Positive
     write_rps: Positive
     value_kb: Positive
-    txn_ops: Annotated[int, Meta(ge=4, le=10_000)]
+    txn_ops: Changes
+    next: NextLimits | None = None
+
+    @property
+    def value_bytes(self) -> int:
+        """The largest value that may be written."""
+        return int(self.value_kb * 1024)
+
+    def binding(self) -> "StateLimits":
+        """What this controller keeps to from its start on: the lesser of now and next, since the
+        change comes without notice."""
+        if self.next is None:
+            return self
+        return StateLimits(
+            min(self.rps, self.next.rps or self.rps),
+            min(self.write_rps, self.next.write_rps or self.write_rps),
+            min(self.value_kb, self.next.value_kb or self.value_kb),
+            min(self.txn_ops, self.next.txn_ops or self.txn_ops),
+        )
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
