Records that are too large for a value go into parts once all controllers read them; versions are told

Pages, specifications and heads of the version before are written whole while such a controller may still lead, and in parts afterwards, or once the state service has refused a value.

--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -63,6 +63,7 @@
         tuning: Tuning,
         mark: Callable[[Page], None],
         backlog: Callable[[], int] = lambda: 0,
+        page_bytes: int | None = None,
     ) -> None:
         self.jobs = jobs
         self.roster = roster
@@ -73,6 +74,7 @@
         self.tuning = tuning
         self.mark = mark
         self.backlog = backlog
+        self.page_bytes = page_bytes or params.state.value_bytes
         self.stages: dict[str, Stage] = {}  # of jobs that wait for others or are waited for
         self.ring: set[str] = set()  # jobs that wait for each other, for ever
         self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
@@ -609,7 +611,7 @@
             return 0  # room held for a start that can't be recorded yet is room lost
         asked = count
         today = self.clock.today()
-        limit = self.params.state.value_bytes
+        limit = self.page_bytes
         for page in job.free_tasks():
             bound, row = page.size_bound(name, today), page.row_bound(today)
             for task in page.free():
--- a/dappledrum/jobs/admission.py
+++ b/dappledrum/jobs/admission.py
@@ -21,7 +21,7 @@
 
 class _Item(NamedTuple):
     job: str
-    put: Put
+    puts: list[Put]
     answer: asyncio.Future[int]
 
 
@@ -39,12 +39,12 @@
         """Whether the rate of changes leaves no room for one more job soon."""
         return self.state.busy_for(Rank.INTAKE, writes=len(self.waiting) + 1) > QUEUE
 
-    async def admit(self, job: str, put: Put) -> int:
+    async def admit(self, job: str, puts: list[Put]) -> int:
         """Store a new job; returns the version, or raises what became of its transaction."""
         item = self.waiting.get(job)
         if item is None:
             future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-            item = self.waiting[job] = _Item(job, put, future)
+            item = self.waiting[job] = _Item(job, puts, future)
         if self.writer is None:
             self.writer = asyncio.get_running_loop().create_task(self._write())
         return await asyncio.shield(item.answer)
@@ -64,11 +64,12 @@
     def _batch(self) -> list[_Item]:
         """What fits into one transaction, and into the rate; always one."""
         batch: list[_Item] = []
-        size = 0
-        for item in list(self.waiting.values())[: self.most_changes]:
-            size += len(bytes(item.put.value)) + 300
-            over = self.state.busy_for(Rank.INTAKE, writes=len(batch) + 1) > ZERO
-            if batch and (size > TXN_BYTES or over):
+        size = changes = 0
+        for item in list(self.waiting.values()):
+            size += sum(len(bytes(put.value)) + 300 for put in item.puts)
+            changes += len(item.puts)
+            over = self.state.busy_for(Rank.INTAKE, writes=changes) > ZERO
+            if batch and (size > TXN_BYTES or changes > self.most_changes or over):
                 break
             batch.append(self.waiting.pop(item.job))
         return batch
@@ -78,7 +79,8 @@
         for item in batch:
             guards += [Guard(head_key(item.job), 0), Guard(ended_key(item.job), 0)]
         try:
-            version = await self.state.commit(guards, [item.put for item in batch], Rank.INTAKE)
+            puts = [put for item in batch for put in item.puts]
+            version = await self.state.commit(guards, puts, Rank.INTAKE)
         except ConflictError as error:
             failed = set(error.failed)
             refused = [i for i in batch if {head_key(i.job), ended_key(i.job)} & failed] or batch
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -27,11 +27,20 @@
     PageRecord,
     Spec,
 )
+from dappledrum.jobs.parts import LONG, split_spec
 from dappledrum.jobs.polls import Found, Polls, Seen, seen
-from dappledrum.jobs.record import ended_key, head_key, page_size
+from dappledrum.jobs.record import ended_key, head_key, page_size, spec_key
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
-from dappledrum.state.client import ConflictError, RefusedError, State, StateError, raw
+from dappledrum.state.ceiling import Ceiling
+from dappledrum.state.client import (
+    ConflictError,
+    RefusedError,
+    State,
+    StateError,
+    TooLargeError,
+    raw,
+)
 from dappledrum.state.messages import Guard, Put
 
 log = logging.getLogger(__name__)
@@ -87,13 +96,12 @@
     """Submissions, polls and cancellations."""
 
     def __init__(
-        self, state: State, params: Params, clock: Clock, accepted_bytes: int | None = None
+        self, state: State, params: Params, clock: Clock, ceiling: Ceiling | None = None
     ) -> None:
         self.state = state
         self.params = params
         self.clock = clock
-        # What was once accepted is never refused, so this doesn't shrink with a smaller limit.
-        self.accepted_bytes = accepted_bytes or params.state.value_bytes
+        self.ceiling = ceiling or Ceiling(params.state)
         self.types: list[MachineType] | None = None
         self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
         self.admission = Admission(state, params.state.txn_ops)
@@ -121,6 +129,9 @@
             return self._present(spec.id, self.ended[spec.id], HTTPStatus.OK)
         try:
             return await self._submit(spec)
+        except TooLargeError as error:
+            self.ceiling.settle(str(error))
+            return busy()
         except StateError as error:
             log.info("submission %s not taken: %s", spec.id, error)
             return busy()
@@ -133,10 +144,12 @@
             return objection if found is None else self._present(spec.id, found, HTTPStatus.OK)
         if self.admission.full():
             return busy()
-        size = page_size(spec, self.params.state.value_bytes)
-        record = JobRecord(spec, round(self.clock.today().timestamp() * 1000), size, PageRecord())
+        puts = self._record(spec)
+        if len(puts) > self.params.state.txn_ops:
+            return refusal(HTTPStatus.BAD_REQUEST, "waits for too many jobs")
         try:
-            version = await self.admission.admit(spec.id, Put(head_key(spec.id), raw(record)))
+            version = await self.admission.admit(spec.id, puts)
+            record = msgspec.json.decode(puts[0].value, type=JobRecord)
             self.polls.note(spec.id, seen(record), version)
             self.lookup.note(spec.id, spec.form)
         except ConflictError:
@@ -158,12 +171,27 @@
             why = await self.lookup.fault(spec.needs, spec.id)
         return None if why is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
 
+    def _record(self, spec: Spec) -> list[Put]:
+        """What is stored of a new job; the head first."""
+        least = self.ceiling.least
+        stored, parts = spec, []
+        # Jobs that wait come when every controller reads parts.
+        apart = self.ceiling.settled or spec.needs
+        if apart and len(msgspec.json.encode(spec)) > least // LONG:
+            stored, parts = split_spec(spec, least)
+        at_ms = round(self.clock.today().timestamp() * 1000)
+        record = JobRecord(
+            stored, at_ms, page_size(stored, least), PageRecord(), spec_parts=len(parts)
+        )
+        puts = [Put(head_key(spec.id), raw(record))]
+        return puts + [Put(spec_key(spec.id, at), raw(part)) for at, part in enumerate(parts)]
+
     def _too_long(self, spec: Spec) -> str | None:
         """A specification must fit into a record, beside the progress."""
         if (
             spec.types is not None
             and len(msgspec.json.encode(msgspec.structs.replace(spec, needs=None)))
-            > self.accepted_bytes // 4
+            > self.ceiling.now // 4  # doesn't shrink with a smaller limit
         ):
             return "list of machine types too long"
         return None
@@ -203,6 +231,7 @@
                 log.info("cancelled %s", job)
                 return answer(HTTPStatus.OK, Answer(job, Outcome.CANCELLED))
         except StateError as error:
+            # Too large a head is written again by the leader, in parts.
             log.info("cancellation of %s not taken: %s", job, error)
         return busy()
 
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -113,6 +113,9 @@
     running: int | None = None
 
 
+Row = tuple[str, int, int, list[int]]
+
+
 class PageRecord(msgspec.Struct, array_like=True):
     """Progress of a range of tasks: next attempt, bitmap of done tasks in hex, and placements.
 
@@ -127,10 +130,26 @@
     places: list[tuple[str, int, str, list[tuple[int, int, int]]]] = []
     prefix: str = ""
     zones: list[str] = []
-    rows: list[tuple[str, int, int, list[int]]] = []
+    rows: list[Row] = []
+    parts: int = 0  # further values with rows; versions up to 0.2.0 know none and write none
+
+
+class RowsRecord(msgspec.Struct, array_like=True):
+    """Value of `rows/<id>/<page>/<n>`: rows that do not fit into the page's own value."""
+
+    prefix: str
+    zones: list[str]
+    rows: list[Row]
+
+
+class SpecPart(msgspec.Struct, omit_defaults=True):
+    """Value of `spec/<id>/<n>`: names of a specification that is too long for the head."""
+
+    types: list[str] = []
+    needs: list[str] = []
 
 
-class JobRecord(msgspec.Struct):
+class JobRecord(msgspec.Struct, omit_defaults=True):
     """Value of `job/<id>`: what was submitted, when, and the progress of the first page."""
 
     spec: Spec
@@ -143,9 +162,10 @@
     # When all that it needs was done. Versions up to 0.2.0 drop it when they write a record again;
     # only jobs that need others have it, and those come when no such version serves any more.
     begun_ms: int | None = None
+    spec_parts: int = 0  # further values that hold the specification's lists
 
 
-class EndedRecord(msgspec.Struct):
+class EndedRecord(msgspec.Struct, omit_defaults=True):
     """Value of `ended/<id>`: all that must be kept of a job that is over."""
 
     state: Outcome
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -5,7 +5,7 @@
 stored.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime, timedelta
 from os.path import commonprefix
 
@@ -19,8 +19,12 @@
     JobRecord,
     Outcome,
     PageRecord,
+    RowsRecord,
     Spec,
+    SpecPart,
 )
+from dappledrum.jobs.parts import LONG, join_spec, split_rows, split_spec
+from dappledrum.state.messages import Delete, Put
 
 PAGE = 256  # tasks, at most
 LEAST_PAGE = 8
@@ -45,6 +49,16 @@
     return f"page/{job}/{index}"
 
 
+def rows_key(job: str, index: int, part: int) -> str:
+    """Key of rows that do not fit into a page's value."""
+    return f"rows/{job}/{index}/{part}"
+
+
+def spec_key(job: str, part: int) -> str:
+    """Key of a part of a long specification."""
+    return f"spec/{job}/{part}"
+
+
 def ended_key(job: str) -> str:
     """Key of a job that is over."""
     return f"ended/{job}"
@@ -108,7 +122,9 @@
         self.revision = 0
         self.starts = 0  # revision of the newest placement: its start waits until that is stored
         self.saved = 0
+        self.stored_bytes = 0
         self.version = 0  # of the stored key; 0: not stored
+        self.parts = 0  # further values of the stored form
         self.uncertain = False  # the outcome of the last write is unknown: read before writing
 
     @property
@@ -186,7 +202,7 @@
         return bool(self.done >> (task - self.first) & 1)
 
     def to_record(self) -> PageRecord:
-        """The stored form."""
+        """The stored form, in one piece."""
         zones: dict[str, int] = {}
         grouped: dict[tuple[str, int, int], list[int]] = {}
         for placement in self.places.values():
@@ -204,6 +220,33 @@
         ]
         return PageRecord(self.attempt, f"{self.done:x}", [], prefix, list(zones), rows)
 
+    def to_values(self, whole: int, part: int) -> list[Put | Delete]:
+        """Changes that store the page: in one value of at most `whole` bytes, or else in several
+        of at most `part`."""
+        record = self.to_record()
+        value = self._value(record)
+        extra: list[RowsRecord] = []
+        if len(value) > whole:
+            if self.index == 0:
+                self.job.detach(part)
+            bare = msgspec.structs.replace(record, rows=[], parts=99)
+            first = part - len(self._value(bare))
+            rows, extra = split_rows(record.prefix, record.zones, record.rows, first, part)
+            record = msgspec.structs.replace(record, rows=rows, parts=len(extra))
+            value = self._value(record)
+        changes: list[Put | Delete] = [Put(self.key, msgspec.Raw(value))]
+        if self.index == 0:
+            changes += self.job.spec_changes()
+        for at, rows_record in enumerate(extra):
+            value = msgspec.json.encode(rows_record)
+            changes.append(Put(rows_key(self.job.id, self.index, at), msgspec.Raw(value)))
+        for at in range(len(extra), self.parts):
+            changes.append(Delete(rows_key(self.job.id, self.index, at)))
+        return changes
+
+    def _value(self, record: PageRecord) -> bytes:
+        return msgspec.json.encode(self.job.head_record(record) if self.index == 0 else record)
+
     def _since(self, at: datetime) -> int:
         return int((at - self.job.accepted_at).total_seconds())
 
@@ -212,9 +255,14 @@
         self.attempt = record.attempt
         self.done = int(record.done, 16) & ((1 << self.count) - 1)
         self.version = version
+        self.parts = record.parts
         for machine, session, zone, old in record.places:
             for row in old:
                 self._restore(machine, session, zone, *row)
+        self.load_rows(record)
+
+    def load_rows(self, record: PageRecord | RowsRecord) -> None:
+        """Take over placements, those of a part included."""
         for suffix, session, index, numbers in record.rows:
             machine, zone = record.prefix + suffix, record.zones[index]
             for at in range(0, len(numbers), 3):
@@ -231,13 +279,18 @@
 class Job:
     """A live job."""
 
-    def __init__(self, record: JobRecord, version: int) -> None:
-        self.spec: Spec = record.spec
+    def __init__(
+        self, record: JobRecord, version: int, spec_parts: Sequence[SpecPart] = ()
+    ) -> None:
+        self.spec: Spec = join_spec(record.spec, spec_parts)
+        self.stored_spec = record.spec
+        self.spec_parts = len(spec_parts)
+        self.unsaved_parts: list[SpecPart] = []  # to be written with the head
         self.id = record.spec.id
         self.page_size = record.size
         self.accepted_at = datetime.fromtimestamp(record.at_ms / 1000, UTC)
         # What it needs and is not stored as done yet: nothing of it may start before.
-        self.unmet: set[str] = set(record.spec.needs or ()) if record.begun_ms is None else set()
+        self.unmet: set[str] = set(self.spec.needs or ()) if record.begun_ms is None else set()
         # From when its times count, its deadline apart: when the last job that it needs was done.
         self.begun_at = self.accepted_at
         if record.begun_ms is not None:
@@ -247,7 +300,7 @@
         self.ended_at: datetime | None = None  # found to be over, stored or not
         self.cancelled = record.cancelled
         self.done = 0
-        self.spec_bytes = len(msgspec.json.encode(record.spec))
+        self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
         self.pages: dict[int, Page] = {}
         self.page(0).load(record.page, version)
         self.done = self.pages[0].done.bit_count()
@@ -312,22 +365,36 @@
             return Outcome.CANCELLED
         return Outcome.RUNNING if self.on_machines() else Outcome.QUEUED
 
-    def head_record(self) -> JobRecord:
-        """Stored form of the head."""
+    def detach(self, most: int) -> None:
+        """Store the lists of a long specification apart from the head."""
+        if not self.spec_parts and self.spec_bytes > most // LONG:
+            self.stored_spec, self.unsaved_parts = split_spec(self.spec, most)
+            self.spec_parts = len(self.unsaved_parts)
+            self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
+
+    def spec_changes(self) -> list[Put | Delete]:
+        """What has to be written with the head."""
+        return [
+            Put(spec_key(self.id, at), msgspec.Raw(msgspec.json.encode(part)))
+            for at, part in enumerate(self.unsaved_parts)
+        ]
+
+    def head_record(self, page: PageRecord | None = None) -> JobRecord:
+        """Stored form of the head, with that of its page."""
         at_ms = round(self.accepted_at.timestamp() * 1000)
-        page = self.page(0).to_record()
         begun_ms = None
         if self.spec.needs and not self.unmet:
             begun_ms = round(self.begun_at.timestamp() * 1000)
         return JobRecord(
-            self.spec,
+            self.stored_spec,
             at_ms,
             self.page_size,
-            page,
+            page or self.page(0).to_record(),
             self.cancelled,
             self.done,
             self.on_machines(),
             begun_ms,
+            self.spec_parts,
         )
 
     def ended_record(self) -> EndedRecord:
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -8,22 +8,32 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import msgspec
 
 from dappledrum.clock import Clock
 from dappledrum.jobs.messages import JobRecord
-from dappledrum.jobs.record import Job, Page, ended_key, head_key
+from dappledrum.jobs.record import Job, Page, ended_key, head_key, rows_key, spec_key
 from dappledrum.leadership.elector import LEADER, Term
 from dappledrum.settings import StateLimits
 from dappledrum.state.budget import Rank
-from dappledrum.state.client import TXN_BYTES, ConflictError, State, StateError, raw
+from dappledrum.state.ceiling import Ceiling
+from dappledrum.state.client import (
+    TXN_BYTES,
+    ConflictError,
+    State,
+    StateError,
+    TooLargeError,
+    raw,
+)
 from dappledrum.state.messages import Delete, Guard, Put
 
 log = logging.getLogger(__name__)
 
+ROWS = "rows/"
+
 GATHER = timedelta(milliseconds=15)  # changes that come together are written together
 LAZY = timedelta(seconds=2)  # the most that ends of tasks wait while starts need the rate
 LOOK = timedelta(milliseconds=100)
@@ -32,14 +42,18 @@
 class Recorder:
     """One for each term of leadership."""
 
-    def __init__(self, state: State, term: Term, limits: StateLimits, clock: Clock) -> None:
+    def __init__(
+        self, state: State, term: Term, limits: StateLimits, ceiling: Ceiling, clock: Clock
+    ) -> None:
         self.state = state
         self.term = term
         self.limits = limits
+        self.ceiling = ceiling
         self.clock = clock
         self.dirty: dict[Page, timedelta] = {}  # since when
         self.ending: dict[Job, None] = {}
         self.garbage: OrderedDict[str, None] = OrderedDict()
+        self.shrunk = False
         self.wake = asyncio.Event()
         self.saved = asyncio.Condition()
         self.on_saved: Callable[[], None] = lambda: None
@@ -63,6 +77,18 @@
                 self.dirty.setdefault(job.page(0), now)
         self.wake.set()
 
+    def shrink(self, jobs: Iterable[Job]) -> None:
+        """Write again what is stored in one value that would now be refused: a controller that
+        cancels a job writes its head as it is."""
+        if self.shrunk or not self.ceiling.settled:
+            return
+        self.shrunk = True
+        for job in jobs:
+            for page in job.pages.values():
+                if page.stored_bytes > self.ceiling.least and not job.over:
+                    page.touch()
+                    self.mark(page)
+
     def starts_waiting(self) -> int:
         """Pages with starts that are not stored yet."""
         return sum(page.starts > page.saved for page in self.dirty)
@@ -140,19 +166,24 @@
         guards = [self.term.guard()]
         changes: list[Put | Delete] = []
         size = 0
-        written: list[tuple[Page, int]] = []
+        written: list[tuple[Page, int, int, int]] = []
         for job in jobs:
             guards.append(Guard(head_key(job.id), job.page(0).version))
             changes += [Delete(head_key(job.id)), Put(ended_key(job.id), raw(job.ended_record()))]
             size += 600
         for page in pages:
-            value = raw(page.job.head_record() if page.index == 0 else page.to_record())
-            if size + len(value) + 400 > TXN_BYTES and changes:
+            own = page.to_values(self.ceiling.whole, self.ceiling.least)
+            length = sum(len(bytes(c.value)) + 400 for c in own if isinstance(c, Put))
+            main = own[0]
+            assert isinstance(main, Put)
+            many = len(changes) + len(own) > self.limits.txn_ops
+            if changes and (many or size + length > TXN_BYTES):
                 break
-            size += len(value) + 400
+            size += length
             guards.append(Guard(page.key, page.version))
-            changes.append(Put(page.key, value))
-            written.append((page, page.revision))
+            changes += own
+            parts = sum(c.key.startswith(ROWS) for c in own if isinstance(c, Put))
+            written.append((page, page.revision, parts, len(bytes(main.value))))
         try:
             revision = await self.state.commit(guards, changes, Rank.RECORD)
         except ConflictError as error:
@@ -160,14 +191,25 @@
                 log.warning("leader key changed, stepping down")
                 self.term.over.set()
             failed = set(error.failed)
-            for page in [page for page, _ in written] + [job.page(0) for job in jobs]:
+            for page in [row[0] for row in written] + [job.page(0) for job in jobs]:
                 page.uncertain |= page.key in failed
             return
+        except TooLargeError as error:
+            if self.ceiling.settled:
+                raise
+            self.ceiling.settle(str(error))  # certainly not executed: again, in parts
+            return
         except StateError:
-            for page in [page for page, _ in written] + [job.page(0) for job in jobs]:
+            for page, _, parts, _ in written:
+                page.parts = max(page.parts, parts)  # whatever may be there is removed later
                 page.uncertain = True
+            for job in jobs:
+                job.page(0).uncertain = True
             raise
-        for page, stored in written:
+        for page, stored, parts, length in written:
+            page.parts, page.stored_bytes = parts, length
+            if page.index == 0:
+                page.job.unsaved_parts = []
             page.version = max(page.version, revision)
             page.saved = max(page.saved, stored)
             self.dirty.pop(page, None)
@@ -216,6 +258,10 @@
             self.dirty.pop(page, None)
             if page.index > 0 and page.version:
                 self.garbage[page.key] = None
+            for part in range(page.parts):
+                self.garbage[rows_key(job.id, page.index, part)] = None
+        for part in range(job.spec_parts):
+            self.garbage[spec_key(job.id, part)] = None
         self.on_ended(job)
 
     async def _collect(self, room: int) -> None:
--- a/dappledrum/jobs/test_intake.py
+++ b/dappledrum/jobs/test_intake.py
@@ -139,7 +139,10 @@
         for offset in range(0, page.count, 7):
             page.place(page.first + offset, f"host-{offset % 5}", offset % 3, "a", now)
         page.finish(page.first + 1)
-    second = Job(msgspec.json.decode(msgspec.json.encode(first.head_record()), type=JobRecord), 5)
+    second = Job(
+        msgspec.json.decode(msgspec.json.encode(first.head_record()), type=JobRecord),
+        5,
+    )
     for index in (1, 2):
         second.add_page(index, first.page(index).to_record(), 6)
 
--- a/dappledrum/jobs/test_recorder.py
+++ b/dappledrum/jobs/test_recorder.py
@@ -14,6 +14,7 @@
 from dappledrum.standins.time import run
 from dappledrum.standins.world import job
 from dappledrum.state.budget import Budget
+from dappledrum.state.ceiling import Ceiling
 
 
 class Slow:
@@ -43,7 +44,8 @@
     async def main():
         clock = Clock()
         state = Slow(clock)
-        recorder = Recorder(state, Term(1, 1, 1), StateLimits(100, 20, 8, 24), clock)
+        limits = StateLimits(100, 20, 8, 24)
+        recorder = Recorder(state, Term(1, 1, 1), limits, Ceiling(limits), clock)
         jobs = [live(number) for number in range(12)]
         for one in jobs[:-1]:
             one.page(0).finish(0)
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -17,13 +17,14 @@
 from dappledrum.fleet.keeper import Keeper
 from dappledrum.fleet.memory import FleetMemory
 from dappledrum.fleet.messages import MachineType
-from dappledrum.jobs.messages import JobRecord, PageRecord
-from dappledrum.jobs.record import Job
+from dappledrum.jobs.messages import JobRecord, PageRecord, RowsRecord, SpecPart
+from dappledrum.jobs.record import Job, head_key, spec_key
 from dappledrum.jobs.recorder import Recorder
 from dappledrum.leadership.elector import Term
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
+from dappledrum.state.ceiling import Ceiling
 from dappledrum.state.client import CompactedError, State, StateError
 from dappledrum.state.messages import Event
 from dappledrum.workers.bookkeeping import Bookkeeper
@@ -34,6 +35,8 @@
 
 JOBS = "job/"
 PAGES = "page/"
+ROWS = "rows/"
+SPECS = "spec/"
 TIMER = timedelta(seconds=1)  # stalled boots and overruns wake nobody, so the clock does
 GATHER = timedelta(milliseconds=100)
 LOAD = 4  # a plan is followed by a pause of at least this many times its own duration
@@ -59,6 +62,7 @@
         term: Term,
         leading: Callable[[], bool],
         state: State,
+        ceiling: Ceiling,
         cloud: Cloud,
         params: Params,
         clock: Clock,
@@ -77,7 +81,7 @@
         self.over: OrderedDict[str, None] = OrderedDict()
         self.roster = Roster()
         self.estimates = Estimates()
-        self.recorder = Recorder(state, term, params.state, clock)
+        self.recorder = Recorder(state, term, params.state, ceiling, clock)
         self.recorder.on_ended = self._ended
         self.graph = Graph(self.jobs, self.recorder.mark, self.wake)
         self.recorder.on_cancelled = self.graph.cancelled
@@ -116,7 +120,10 @@
             tuning,
             self.recorder.mark,
             self.recorder.starts_waiting,
+            # Pages of the version before may be larger than new ones, and are stored in parts.
+            min(ceiling.now, ceiling.least * (params.state.txn_ops - 2)),
         )
+        self.incomplete: dict[str, None] = {}  # new jobs whose specification is in parts
         self.loaded = asyncio.Event()
         self.woken = asyncio.Event()
         self.revision = 0
@@ -172,21 +179,45 @@
     async def _load_once(self) -> None:
         started = self.clock.now()
         jobs, revision = await self.state.scan(JOBS, Rank.RECORD)
-        pages, _ = await self.state.scan(PAGES, Rank.RECORD)
+        pages, rows, specs = [
+            entries
+            for entries, _ in await asyncio.gather(
+                *(self.state.scan(prefix, Rank.RECORD) for prefix in (PAGES, ROWS, SPECS))
+            )
+        ]
+        parts: dict[str, dict[int, SpecPart]] = {}
+        for entry in specs:
+            _, name, number = entry.key.split("/")
+            part = msgspec.json.decode(entry.value, type=SpecPart)
+            parts.setdefault(name, {})[int(number)] = part
         self.jobs.clear()
         self.graph.clear()
         for entry in jobs:
             record = msgspec.json.decode(entry.value, type=JobRecord)
-            self.jobs[record.spec.id] = Job(record, entry.version)
+            own = parts.pop(record.spec.id, {})
+            job = Job(record, entry.version, [own[number] for number in sorted(own)])
+            job.page(0).stored_bytes = len(bytes(entry.value))
+            self.jobs[record.spec.id] = job
+        for name, left in parts.items():
+            self.recorder.garbage.update((spec_key(name, number), None) for number in left)
         for entry in pages:
             _, name, index = entry.key.split("/")
-            job = self.jobs.get(name)
-            if job is None:
+            found = self.jobs.get(name)
+            if found is None:
                 self.recorder.garbage[entry.key] = None
             else:
-                job.add_page(
+                found.add_page(
                     int(index), msgspec.json.decode(entry.value, type=PageRecord), entry.version
                 )
+                found.page(int(index)).stored_bytes = len(bytes(entry.value))
+        for entry in rows:
+            _, name, index, number = entry.key.split("/")
+            found = self.jobs.get(name)
+            if found is None or int(number) >= found.page(int(index)).parts:
+                self.recorder.garbage[entry.key] = None
+            else:
+                record_rows = msgspec.json.decode(entry.value, type=RowsRecord)
+                found.page(int(index)).load_rows(record_rows)
         for job in self.jobs.values():
             self.bookkeeper.restore(job)
         await self.memory.recall()
@@ -215,6 +246,8 @@
                 if event.put is not None:
                     self._changed(event.put, event.value, event.version)
             self.revision = revision
+            for name in list(self.incomplete):
+                await self._complete(name)
             await asyncio.sleep(WATCH_GAP.total_seconds())
 
     def _changed(self, key: str, value: msgspec.Raw, version: int) -> None:
@@ -223,10 +256,11 @@
         if name in self.over or (job is not None and version <= job.page(0).version):
             return
         record = msgspec.json.decode(value, type=JobRecord)
+        if job is None and record.spec_parts:
+            self.incomplete[name] = None
+            return
         if job is None:
-            job = self.jobs[name] = Job(record, version)
-            log.info("new job %s: %d tasks of %s", name, job.spec.tasks, job.spec.job_class)
-            self.graph.add(job)
+            job = self._new(Job(record, version))
         else:
             job.page(0).version = version
             if record.cancelled and not job.cancelled:
@@ -236,6 +270,29 @@
         self.recorder.mark(job.page(0))
         self.wake("job changed")
 
+    def _new(self, job: Job) -> Job:
+        self.jobs[job.id] = job
+        log.info("new job %s: %d tasks of %s", job.id, job.spec.tasks, job.spec.job_class)
+        self.graph.add(job)
+        return job
+
+    async def _complete(self, name: str) -> None:
+        """Read a new job whose specification is too long for its head."""
+        entry = await self.state.get(head_key(name), Rank.RECORD)
+        if entry is not None and name not in self.jobs:
+            record = msgspec.json.decode(entry.value, type=JobRecord)
+            parts = []
+            for number in range(record.spec_parts):
+                part = await self.state.get(spec_key(name, number), Rank.RECORD)
+                if part is None:
+                    log.error("%s lacks a part of its specification", name)
+                    return
+                parts.append(msgspec.json.decode(part.value, type=SpecPart))
+            job = self._new(Job(record, entry.version, parts))
+            self.recorder.mark(job.page(0))
+            self.wake("job changed")
+        self.incomplete.pop(name, None)
+
     def _ended(self, job: Job) -> None:
         log.info("%s is %s", job.id, job.ended_record().state)
         self.jobs.pop(job.id, None)
@@ -282,6 +339,7 @@
         await self.loaded.wait()
         while True:
             self.bookkeeper.sweep()
+            self.recorder.shrink(self.jobs.values())
             await asyncio.sleep(0.5)
 
     # workers
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from dappledrum import __version__
 from dappledrum.clock import Clock
 from dappledrum.dispatch import Tuning
 from dappledrum.fleet.cloud import Cloud, CloudError
@@ -31,11 +32,14 @@
     Relay,
     RelayReply,
     Reply,
+    VersionQuestion,
+    VersionReply,
     decode,
     encode,
 )
 from dappledrum.settings import Settings
 from dappledrum.state.budget import Rank
+from dappledrum.state.ceiling import Ceiling
 from dappledrum.state.client import State, StateError, raw
 from dappledrum.state.messages import Guard, Put
 from dappledrum.workers.knocks import Knocks, shunned
@@ -48,6 +52,7 @@
 FOLLOWER_BURST = 2.0  # seconds
 RELAY_TIME = timedelta(milliseconds=900)
 KNOCK_TIME = timedelta(seconds=10)
+VERSION_PAUSE = timedelta(seconds=2)
 AVOID = timedelta(seconds=20)
 LIFE_MOST = timedelta(seconds=3)
 
@@ -78,7 +83,8 @@
         life = min(LIFE_MOST, self.params.workers.lease / 3)
         self.elector = Elector(settings.member, self.state, clock, rng, life, self.peers.promise)
         self.elector.on_change = self._leadership_changed
-        self.intake = Intake(self.state, self.params, clock, limits.value_bytes)
+        self.ceiling = Ceiling(limits)
+        self.intake = Intake(self.state, self.params, clock, self.ceiling)
         self.pulse = Pulse(clock)
         self.leader: Leader | None = None
         self.knocks = Knocks()
@@ -93,6 +99,7 @@
             self._lead(),
             self._learn_types(),
             self._hear_workers(),
+            self._learn_versions(),
         )
 
     def _set_share(self) -> None:
@@ -125,6 +132,7 @@
                 term,
                 lambda: self.elector.leading() is not None,
                 self.state,
+                self.ceiling,
                 self.cloud,
                 self.params,
                 self.clock,
@@ -203,6 +211,21 @@
                     f"no worker reaches this controller, {len(names)} try others", AVOID
                 )
 
+    async def _learn_versions(self) -> None:
+        """Once every other controller tells its version, none is left that can't read records in
+        parts; those before 0.3.0 do not tell, and whoever was upgraded stays so."""
+        told: dict[str, str] = {}
+        while len(told) < len(self.peers.callers):
+            for member in self.peers.callers:
+                if member in told:
+                    continue
+                version = await self.peers.version(member, RELAY_TIME)
+                if version is not None:
+                    told[member] = version
+                    log.info("%s runs version %.40s", member, version)
+            await asyncio.sleep(VERSION_PAUSE.total_seconds())
+        self.ceiling.settle("all controllers read them")
+
     # users and workers
 
     async def serve(self, request: Request) -> Response:
@@ -316,6 +339,8 @@
                 return RelayReply(HTTPStatus.SERVICE_UNAVAILABLE, b"{}", 1)
             response = await self._locally(Request(question.method, question.path, question.body))
             return RelayReply(response.status, response.body, response.retry_after)
+        if isinstance(question, VersionQuestion):
+            return VersionReply(__version__)
         if isinstance(question, KnocksQuestion):
             within = timedelta(milliseconds=min(max(question.within_ms, 0), 60_000))
             return KnocksReply(self.knocks.within(within, self.clock.now()))
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -15,6 +15,8 @@
     Question,
     Relay,
     RelayReply,
+    VersionQuestion,
+    VersionReply,
     decode,
     encode,
 )
@@ -67,6 +69,11 @@
                 result[name] = max(result.get(name, 0), count)
         return result
 
+    async def version(self, member: str, timeout: timedelta) -> str | None:
+        """The version that a peer runs, if it tells."""
+        reply = await self._ask(member, VersionQuestion(), VersionReply, timeout)
+        return None if reply is None else reply.version
+
     async def relay(self, member: str, request: Relay, timeout: timedelta) -> RelayReply | None:
         """Have a peer serve a user's request."""
         reply: RelayReply | None = await self._ask(member, request, RelayReply, timeout)
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -45,8 +45,18 @@
     request: PromiseRequest
 
 
-Question = Relay | Knocks | Promise
-Reply = RelayReply | KnocksReply | PromiseReply
+class VersionQuestion(msgspec.Struct, tag="version", tag_field="kind"):
+    """Asked of every controller until it tells; versions up to 0.2.0 refuse it."""
+
+
+class VersionReply(msgspec.Struct):
+    """The version that runs there."""
+
+    version: str
+
+
+Question = Relay | Knocks | Promise | VersionQuestion
+Reply = RelayReply | KnocksReply | PromiseReply | VersionReply
 
 
 class MalformedError(Exception):
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -13,7 +13,7 @@
 
 from dappledrum.dispatch import Tuning
 from dappledrum.http.client import Caller, NoResponseError, Reply
-from dappledrum.http.server import Handler, Request
+from dappledrum.http.server import Handler, Request, Response
 from dappledrum.model.rules import Rules
 from dappledrum.node import Node
 from dappledrum.settings import (
@@ -192,7 +192,7 @@
         loop = asyncio.get_running_loop()
         self.processes[member] = loop.create_task(node.run(), context=context)
         self.network.services[member] = self._service(node.serve, context)
-        self.network.services["back-" + member] = self._service(node.serve_peer, context)
+        self.network.services["back-" + member] = self._service(self._peer(node, member), context)
 
     def _params(self, member: str) -> Params:
         """What a controller makes of the settings: an old one knows nothing of later limits."""
@@ -202,6 +202,18 @@
             self.params, state=msgspec.structs.replace(self.params.state, next=None)
         )
 
+    def _peer(self, node: Node, member: str) -> Handler:
+        """What peers reach; the version before refuses questions that it does not know."""
+        if member not in self.old:
+            return node.serve_peer
+
+        async def refuse(request: Request) -> Response:
+            if b"version" in request.body:
+                return Response(400)
+            return await node.serve_peer(request)
+
+        return refuse
+
     def _state_caller(self, member: str) -> Caller:
         link = self.network.caller(member, "state")
         return OldCaller(link) if member in self.old else link
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -61,6 +61,10 @@
         self.failed = failed
 
 
+class TooLargeError(RefusedError):
+    """Certainly not executed: a value or the transaction is larger than the service takes."""
+
+
 class LeaseLostError(StateError):
     """The lease does not exist any more."""
 
@@ -215,6 +219,9 @@
             raise ConflictError(self._decode(reply, Conflict).failed)
         if reply.status == 400 and b"no such lease" in reply.body:
             raise LeaseLostError("lease ended")
+        if reply.status == 400:
+            log.error("transaction refused: %.200r", reply.body)
+            raise TooLargeError(f"the state service refused a value: {reply.body[:100]!r}")
         log.error("transaction refused with %d: %.200r", reply.status, reply.body)
         raise UnknownError(f"status {reply.status} for a transaction")
 
