--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -129,9 +129,6 @@
             return self._present(spec.id, self.ended[spec.id], HTTPStatus.OK)
         try:
             return await self._submit(spec)
-        except TooLargeError as error:
-            self.ceiling.settle(str(error))
-            return busy()
         except StateError as error:
             log.info("submission %s not taken: %s", spec.id, error)
             return busy()
@@ -152,6 +149,9 @@
             record = msgspec.json.decode(puts[0].value, type=JobRecord)
             self.polls.note(spec.id, seen(record), version)
             self.lookup.note(spec.id, spec.form)
+        except TooLargeError as error:
+            self.ceiling.refused(max(len(bytes(put.value)) for put in puts), str(error))
+            return busy()
         except ConflictError:
             found = await self.find(spec.id, Rank.INTAKE)
             return busy() if found is None else self._present(spec.id, found, HTTPStatus.OK)
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -195,10 +195,9 @@
                 page.uncertain |= page.key in failed
             return
         except TooLargeError as error:
-            if self.ceiling.settled:
+            if not self.ceiling.refused(max((row[3] for row in written), default=0), str(error)):
                 raise
-            self.ceiling.settle(str(error))  # certainly not executed: again, in parts
-            return
+            return  # certainly not executed: again, in parts
         except StateError:
             for page, _, parts, _ in written:
                 page.parts = max(page.parts, parts)  # whatever may be there is removed later
--- a/dappledrum/model/dds.py
+++ b/dappledrum/model/dds.py
@@ -7,6 +7,7 @@
 import math
 from dataclasses import dataclass, field
 from itertools import pairwise
+from typing import Any
 
 
 @dataclass
@@ -181,3 +182,47 @@
     """At no moment is more taken than there is."""
     moments = sorted({t for s, f, _ in machine.reserved for t in (s, f)})
     return all(machine.used(a) <= machine.cpus + 1e-6 for a, _ in pairwise(moments))
+
+
+def plain_stages(
+    jobs: dict[str, dict[str, Any]], optimism: float
+) -> dict[str, tuple[float | None, int, int, int]]:
+    """Stage due, rank, ready and all tasks of each job of a workflow, path by path.
+
+    Each job: `needs`, `depth`, `run`, `dues`, `rank`, `tasks`, `ready`.
+    """
+
+    def stage(name: str) -> list[str]:
+        groups = [[name]]
+        for job in jobs.values():
+            if name in job["needs"]:
+                groups.append([n for n in job["needs"] if jobs[n]["depth"] == jobs[name]["depth"]])
+        largest = max(len(group) for group in groups)
+        return next(group for group in groups if len(group) == largest)
+
+    def way(name: str) -> float:
+        weight = max(jobs[other]["run"] for other in stage(name))
+        return weight + max((way(need) for need in jobs[name]["needs"]), default=0.0)
+
+    def after(name: str) -> set[str]:
+        result = {name}
+        for other, job in jobs.items():
+            if name in job["needs"]:
+                result |= after(other)
+        return result
+
+    result = {}
+    for name in jobs:
+        ratios = []
+        for last in after(name):
+            kept = [due for due in jobs[last]["dues"] if due >= way(last) * optimism]
+            if kept and way(last) > 0:
+                ratios.append(kept[0] / way(last))
+        members = stage(name)
+        result[name] = (
+            min(ratios) * way(name) if ratios else None,
+            min(jobs[last]["rank"] for last in after(name)),
+            sum(jobs[member]["ready"] for member in members),
+            sum(jobs[member]["tasks"] for member in members),
+        )
+    return result
--- a/dappledrum/state/ceiling.py
+++ b/dappledrum/state/ceiling.py
@@ -27,6 +27,16 @@
         """The largest value that is written in one piece."""
         return self.least if self.settled else self.now
 
+    def refused(self, largest: int, why: str) -> bool:
+        """The state service refused values of which the largest has this size; whether that tells
+        that its limits have dropped. Anything smaller must have been refused for something else,
+        and says nothing of what other controllers can read."""
+        dropped = not self.settled and largest > self.least
+        if dropped:
+            log.warning("the limits of the state service have dropped")
+            self.settle(why)
+        return dropped
+
     def settle(self, why: str) -> None:
         """From now on the lesser limit holds for everything."""
         if not self.settled:
