--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -218,6 +218,14 @@
         link = self.network.caller(member, "state")
         return OldCaller(link) if member in self.old else link
 
+    async def restart_all(self, after: float = 3.0) -> None:
+        """All controllers end at once, and start again a little later."""
+        for member in self.members:
+            self.kill(member)
+        await self.wait(after)
+        for member in self.members:
+            self.start(member)
+
     async def upgrade(self, member: str, after: float = 3.0) -> None:
         """End a controller's process; it comes back with the new version."""
         self.old.discard(member)
--- a/dappledrum/test_upgrade.py
+++ b/dappledrum/test_upgrade.py
@@ -64,12 +64,8 @@
 
 
 async def all_at_once(world):
-    for member in world.members:
-        world.kill(member)
-    await world.wait(3)
     world.old.clear()
-    for member in world.members:
-        world.start(member)
+    await world.restart_all()
 
 
 async def old_after_new_after_old(world):
@@ -95,11 +91,7 @@
 
 async def crash_in_the_midst(world):
     await world.upgrade(world.members[0])
-    for member in world.members:
-        world.kill(member)
-    await world.wait(3)
-    for member in world.members:
-        world.start(member)
+    await world.restart_all()
     await world.wait(3)
     await one_by_one(world)
 
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -38,11 +38,7 @@
 
 
 async def all_killed(world):
-    for member in world.members:
-        world.kill(member)
-    await world.wait(3)
-    for member in world.members:
-        world.start(member)
+    await world.restart_all()
 
 
 async def rolled(world):
