--- /dev/null
+++ b/dappledrum/jobs/test_old_records.py
@@ -0,0 +1,159 @@
+"""Records and messages of version 0.2.0, as it wrote them, and what it makes of new ones.
+
+The structures below are how that version decoded and encoded, cut down to what matters: fields
+that it did not know were dropped when it wrote a record again.
+"""
+
+import cbor2
+import msgspec
+
+from dappledrum.fleet.messages import Catalog, FleetRecord
+from dappledrum.jobs.messages import EndedRecord, JobRecord, Outcome, PageRecord
+from dappledrum.jobs.record import Job
+from dappledrum.leadership.messages import EpochRecord, LeaderRecord, PromiseReply
+from dappledrum.peers.messages import Knocks, KnocksReply, Promise, Question, Relay, RelayReply
+from dappledrum.peers.messages import decode as decode_peer
+from dappledrum.standins.world import job
+
+HEAD = (
+    b'{"spec":{"id":"j-000007","pattern":"plain","crew":"blue","form":"batch",'
+    b'"urgency":"standard","beats":300,"vcpus":2.0,"accelerators":0.0,"memGb":2.0,'
+    b'"skin":"img-1","pullGb":0.5,"oneZone":false,"spread":false,"loaners":true,'
+    b'"expectedS":6.0,"markEveryS":0.0,"markTakeS":0.0,"builds":["small"],"hall":null,'
+    b'"dueS":120.0},"at_ms":1764000000000,"size":256,"page":[4,"5",[],"host-0000",["a","b"],'
+    b'[["11",1,0,[3,1,2,4,2,2]],["12",2,1,[7,3,4]]]],"cancelled":false,"done":2,"running":3}'
+)
+PAGE = b'[2,"0",[],"host-000013",["a"],[["",1,0,[0,1,9]]]]'
+PAGE_OF_0_1 = b'[2,"1",[["host-000013",1,"a",[[0,1,9]]]]]'
+ENDED = b'{"state":"cancelled","tasks":4}'
+
+
+class OldSpec(msgspec.Struct):
+    id: str
+    pattern: str
+    crew: str
+    form: str
+    urgency: str
+    beats: int
+    vcpus: float
+    accelerators: float
+    memGb: float  # noqa: N815
+    skin: str
+    pullGb: float  # noqa: N815
+    oneZone: bool  # noqa: N815
+    spread: bool
+    loaners: bool
+    expectedS: float  # noqa: N815
+    markEveryS: float  # noqa: N815
+    markTakeS: float  # noqa: N815
+    builds: list[str] | None = None
+    hall: str | None = None
+    dueS: float | None = None  # noqa: N815
+
+
+class OldPage(msgspec.Struct, array_like=True):
+    attempt: int = 1
+    done: str = "0"
+    places: list[tuple[str, int, str, list[tuple[int, int, int]]]] = []
+    prefix: str = ""
+    zones: list[str] = []
+    rows: list[tuple[str, int, int, list[int]]] = []
+
+
+class OldHead(msgspec.Struct):
+    spec: OldSpec
+    at_ms: int
+    size: int
+    page: OldPage
+    cancelled: bool = False
+    done: int = 0
+    running: int = 0
+
+
+class OldEnded(msgspec.Struct):
+    state: str
+    tasks: int
+
+
+def rewritten(value, kind):
+    """What is left when the old version reads a value and writes it again."""
+    return msgspec.json.encode(msgspec.json.decode(value, type=kind))
+
+
+def loaded(head, page):
+    result = Job(msgspec.json.decode(head, type=JobRecord), 3)
+    result.add_page(1, msgspec.json.decode(page, type=PageRecord), 4)
+    return result
+
+
+def facts(one):
+    places = {
+        (p.task, p.attempt, p.machine, p.session, p.zone, p.placed_at) for p in one.placements()
+    }
+    pages = {index: (page.attempt, page.done) for index, page in one.pages.items()}
+    return one.spec, one.accepted_at, one.page_size, one.cancelled, one.done, places, pages
+
+
+def test_old_records_are_read_and_what_is_written_again_says_the_same_to_the_old_version():
+    for page in (PAGE, PAGE_OF_0_1):
+        one = loaded(HEAD, page)
+        assert one.on_machines() == 4 and one.page(0).done == 5 and one.spec.types == ["small"]
+        assert not one.unmet and one.begun_at == one.accepted_at
+        [head] = one.page(0).to_values(8192, 8192)
+        [further] = one.page(1).to_values(8192, 8192)
+        again = loaded(rewritten(head.value, OldHead), rewritten(further.value, OldPage))
+        assert facts(again) == facts(one)
+
+
+def test_an_old_controller_that_cancels_a_job_loses_nothing_of_it():
+    """It reads the head, says that it is cancelled, and writes it again."""
+    one = loaded(HEAD, PAGE)
+    [head] = one.page(0).to_values(8192, 8192)
+    old = msgspec.json.decode(head.value, type=OldHead)
+    old.cancelled = True
+    again = loaded(msgspec.json.encode(old), PAGE)
+    one.cancelled = True
+    assert facts(again) == facts(one)
+
+
+def test_ends_are_the_same_to_both():
+    ended = msgspec.json.decode(ENDED, type=EndedRecord)
+    assert (ended.state, ended.tasks, ended.at_ms) == (Outcome.CANCELLED, 4, None)
+    new = msgspec.json.encode(EndedRecord(Outcome.DONE, 7, 1_764_000_000_000))
+    old = msgspec.json.decode(rewritten(new, OldEnded), type=OldEnded)
+    assert (old.state, old.tasks) == ("done", 7)
+
+
+def test_a_new_job_means_the_same_to_the_old_version():
+    """Defaults are left out, and the page is smaller."""
+    spec = {key: value for key, value in job(9).items() if key != "runS"}
+    record = msgspec.convert({"spec": spec, "at_ms": 5, "size": 45, "page": [1, "0"]}, JobRecord)
+    old = msgspec.json.decode(msgspec.json.encode(record), type=OldHead)
+    assert msgspec.json.decode(msgspec.json.encode(old), type=JobRecord) == record
+
+
+def test_the_other_keys_and_messages_are_read_as_they_were():
+    leader = msgspec.json.decode(b'{"member":"n-1","epoch":7}', type=LeaderRecord)
+    assert (leader.member, leader.epoch) == ("n-1", 7)
+    assert msgspec.json.decode(b'{"epoch":7}', type=EpochRecord).epoch == 7
+    fleet = b'{"booting":[[["host-000001"],"small","a",true,1764000000000]]}'
+    assert msgspec.json.encode(msgspec.json.decode(fleet, type=FleetRecord)) == fleet
+    catalog = (
+        b'{"builds":[{"label":"small","vcpus":4.0,"accelerators":0.0,"memGb":16.0,"cacheGb":20.0,'
+        b'"fetchGbPerS":1.0,"hourly":0.3,"readyS":8.0,"halls":["a"],"marketPrice":0.1}]}'
+    )
+    assert msgspec.json.decode(catalog, type=Catalog).types[0].name == "small"
+    questions = [
+        ({"kind": "relay", "method": "GET", "path": "/x", "body": b""}, Relay),
+        ({"kind": "knocks", "within_ms": 10}, Knocks),
+        ({"kind": "promise", "request": {"member": "n", "epoch": 3, "for_ms": 2000}}, Promise),
+    ]
+    for message, kind in questions:
+        assert isinstance(decode_peer(cbor2.dumps(message), Question), kind)
+    replies = [
+        ({"status": 200, "body": b"{}", "retry_after": None}, RelayReply),
+        ({"machines": {"host-000001": 2}}, KnocksReply),
+        ({"granted": False, "reason": "why"}, PromiseReply),
+    ]
+    for message, kind in replies:
+        assert isinstance(decode_peer(cbor2.dumps(message), kind), kind)
