--- a/dappledrum/chains/test_chains.py
+++ b/dappledrum/chains/test_chains.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dappledrum.settings import NextLimits
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 
@@ -203,10 +204,11 @@
 
 
 def test_long_chains_and_many_followers_are_cancelled_in_time():
-    """Nothing recursive, and their records share transactions."""
+    """Nothing recursive, and their records share transactions, also after the limits dropped."""
 
     async def main():
-        world = World(seed=38)
+        world = World(seed=38, next=NextLimits(write_rps=30.0, value_kb=2.0, txn_ops=8))
+        world.drop_limits()
         await ready(world)
         assert await world.submit(link(1, runS=300.0, expectedS=300.0)) == 201
         for number in range(2, 130):
--- a/dappledrum/standins/state_service.py
+++ b/dappledrum/standins/state_service.py
@@ -33,6 +33,10 @@
         self.too_large: list[str] = []  # what was refused for its size
         self.value_bytes = 8192
         self.txn_ops = 24
+        self.write_rps: float | None = None  # changes a second; bursts of one second's worth
+        self.spare_writes = 0.0
+        self.spare_at = 0.0
+        self.over_rate = 0
 
     def end_outage(self) -> None:
         """Service again; every lease has its full time."""
@@ -120,6 +124,9 @@
         if len(changes) > self.txn_ops or len(body["guards"]) > self.txn_ops * 4:
             self.too_large.append("transaction")
             return reply(400, {"error": "too many changes in one transaction"})
+        if not self._affordable(len(changes)):
+            self.over_rate += 1
+            return reply(429, {"error": "too many changes"})
         self.writes += len(changes)
         for change in changes:
             value = json.dumps(change.get("value"), separators=(",", ":"))
@@ -148,6 +155,17 @@
             self._tell()
         return reply(200, {"tally": self.tally})
 
+    def _affordable(self, changes: int) -> bool:
+        if self.write_rps is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        grown = self.spare_writes + (now - self.spare_at) * self.write_rps
+        self.spare_writes, self.spare_at = min(grown, self.write_rps), now
+        if changes > self.spare_writes:
+            return False
+        self.spare_writes -= changes
+        return True
+
     async def _watch(self, source: str, options: dict[str, str]) -> Reply:
         loop = asyncio.get_running_loop()
         since, end = int(options["from"]), loop.time() + int(options.get("waitMs", "0")) / 1000
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -236,6 +236,7 @@
         assert self.next is not None
         self.state.value_bytes = int((self.next.value_kb or 8.0) * 1024)
         self.state.txn_ops = self.next.txn_ops or 24
+        self.state.write_rps = self.next.write_rps
 
     @staticmethod
     def _service(handler: Handler, context: contextvars.Context) -> Service:
--- a/dappledrum/test_upgrade.py
+++ b/dappledrum/test_upgrade.py
@@ -17,7 +17,7 @@
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 
-NEXT = NextLimits(write_rps=60.0, value_kb=2.0, txn_ops=8)
+NEXT = NextLimits(write_rps=40.0, value_kb=2.0, txn_ops=8)
 
 
 def name(number):
@@ -129,6 +129,7 @@
         await world.wait(5)
         left = [key for key in world.state.keys if key.split("/")[0] in ("page", "rows", "spec")]
         assert not left
+        assert world.state.over_rate <= 3
         # The first refusal only tells that the limits have dropped.
         assert len(world.state.too_large) <= 3
 
