--- a/dappledrum/chains/test_chains.py
+++ b/dappledrum/chains/test_chains.py
@@ -211,12 +211,12 @@
         world.drop_limits()
         await ready(world)
         assert await world.submit(link(1, runS=300.0, expectedS=300.0)) == 201
-        for number in range(2, 130):
-            needs = (number - 1,) if number < 60 else (1, number // 2)
+        for number in range(2, 330):
+            needs = (number - 1,) if number < 160 else (1, number // 2)
             assert await world.submit(link(number, *needs)) == 201
         assert await world.cancel(name(1)) == "cancelled"
         await world.wait(28)
-        states = {await world.poll(name(number)) for number in range(1, 130)}
+        states = {await world.poll(name(number)) for number in range(1, 330)}
         assert states == {"cancelled"}
 
     run(main())
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -299,6 +299,7 @@
         self.rank = RANKS[record.spec.priority]  # its own, or that of a job that needs it
         self.ended_at: datetime | None = None  # found to be over, stored or not
         self.cancelled = record.cancelled
+        self.cancel_stored = record.cancelled  # users are told so already
         self.done = 0
         self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
         self.pages: dict[int, Page] = {}
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -36,6 +36,7 @@
 
 GATHER = timedelta(milliseconds=15)  # changes that come together are written together
 LAZY = timedelta(seconds=2)  # the most that ends of tasks wait while starts need the rate
+MANY = 16  # jobs to be ended, from which on cancellations are only noted at first
 LOOK = timedelta(milliseconds=100)
 
 
@@ -140,7 +141,14 @@
         lazy = [page for page in self.dirty if page not in hurried][: max(0, spare)]
         pages: list[Page] = []
         jobs: list[Job] = []
+        noted = self._to_note()
+        for page in noted[: max(1, room // 2 if urgent else room)]:
+            if await self._certain(page):
+                pages.append(page)
+                room -= 1
         for job in list(self.ending):
+            if noted and job.cancelled:
+                continue
             if room >= 2 and await self._certain(job.page(0)):
                 jobs.append(job)
                 room -= 2
@@ -156,6 +164,13 @@
             await self._write(pages, jobs)
         return bool(pages or jobs)
 
+    def _to_note(self) -> list[Page]:
+        """Heads of jobs that a cancellation has taken along, when there are too many to be moved
+        to the ended ones in time: that takes two changes for each, and noting it one."""
+        if len(self.ending) <= MANY:
+            return []
+        return [job.page(0) for job in self.ending if job.cancelled and not job.cancel_stored]
+
     def _room(self) -> int:
         """Number of changes for the next transaction: what the rate allows now, but always a
         few."""
@@ -166,7 +181,7 @@
         guards = [self.term.guard()]
         changes: list[Put | Delete] = []
         size = 0
-        written: list[tuple[Page, int, int, int]] = []
+        written: list[tuple[Page, int, int, int, bool]] = []
         for job in jobs:
             guards.append(Guard(head_key(job.id), job.page(0).version))
             changes += [Delete(head_key(job.id)), Put(ended_key(job.id), raw(job.ended_record()))]
@@ -183,7 +198,9 @@
             guards.append(Guard(page.key, page.version))
             changes += own
             parts = sum(c.key.startswith(ROWS) for c in own if isinstance(c, Put))
-            written.append((page, page.revision, parts, len(bytes(main.value))))
+            written.append(
+                (page, page.revision, parts, len(bytes(main.value)), page.job.cancelled)
+            )
         try:
             revision = await self.state.commit(guards, changes, Rank.RECORD)
         except ConflictError as error:
@@ -199,16 +216,17 @@
                 raise
             return  # certainly not executed: again, in parts
         except StateError:
-            for page, _, parts, _ in written:
+            for page, _, parts, _, _ in written:
                 page.parts = max(page.parts, parts)  # whatever may be there is removed later
                 page.uncertain = True
             for job in jobs:
                 job.page(0).uncertain = True
             raise
-        for page, stored, parts, length in written:
+        for page, stored, parts, length, cancelled in written:
             page.parts, page.stored_bytes = parts, length
             if page.index == 0:
                 page.job.unsaved_parts = []
+                page.job.cancel_stored |= cancelled
             page.version = max(page.version, revision)
             page.saved = max(page.saved, stored)
             self.dirty.pop(page, None)
@@ -236,7 +254,7 @@
                 and msgspec.json.decode(entry.value, type=JobRecord).cancelled
                 and not job.cancelled
             ):
-                job.cancelled = True
+                job.cancelled = job.cancel_stored = True
                 log.info("%s was cancelled meanwhile", job.id)
                 self.on_cancelled(job)
         elif page.index == 0:
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -264,7 +264,7 @@
         else:
             job.page(0).version = version
             if record.cancelled and not job.cancelled:
-                job.cancelled = True
+                job.cancelled = job.cancel_stored = True
                 log.info("%s is cancelled", name)
                 self.graph.cancelled(job)
         self.recorder.mark(job.page(0))
