--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -38,6 +38,7 @@
 T = TypeVar("T")
 PATIENCE = timedelta(seconds=1.5)
 TXN_BYTES = 60 * 1024
+CHAIN = 8.0  # changes that may go out at once: users submit the jobs of a chain within a moment
 TROUBLE = timedelta(milliseconds=400)
 
 
@@ -105,7 +106,8 @@
         worth of it that may go out at once."""
         now = self.clock.now()
         self.requests.resize(self.limits.rps * share, now, burst)
-        self.writes.resize(self.limits.write_rps * share, now, burst)
+        rate = self.limits.write_rps * share
+        self.writes.resize(rate, now, max(burst, min(CHAIN, self.limits.write_rps / 2) / rate))
 
     def busy_for(self, rank: Rank, writes: int = 0) -> timedelta:
         """How long a request of this rank would have to wait; zero means that it can go now."""
