--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -76,6 +76,7 @@
         self.backlog = backlog
         self.page_bytes = page_bytes or params.state.value_bytes
         self.stages: dict[str, Stage] = {}  # of jobs that wait for others or are waited for
+        self.sizes: set[Size] = set()  # of the tasks of live jobs
         self.ring: set[str] = set()  # jobs that wait for each other, for ever
         self.members: dict[str, list[Job]] = {}  # jobs of a bag that stands for several
         self.awake_since = ZERO
@@ -95,6 +96,9 @@
         self.awake_since = self.keeper.awake_since()
         now = self.clock.now()
         self._chain()
+        self.sizes = {
+            Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for job in self.jobs.values()
+        }
         self.guaranteed = self._guaranteed()
         self.moments = {}
         lanes = [
@@ -176,6 +180,26 @@
         rates = [m.fetch_gb_per_s for m in self.keeper.types.values() if allowed(job.spec, m)]
         return fetch_time(job.spec.image_gb, max(rates, default=1.0))
 
+    def may_wait(self, machine: Machine, span: timedelta) -> bool:
+        """Whether a busy machine has room for more, and none of its tasks is expected to end within
+        this time: the report of an end would wait for the answer to the report before."""
+        model = self.keeper.types.get(machine.kind.type) if machine.kind is not None else None
+        if model is None or not machine.usable or machine.recall_at is not None:
+            return False
+        now = self.clock.now()
+        free = Size(model.cpus, model.gpus, model.memory_gb)
+        for placement in machine.placements.values():
+            job = placement.page.job
+            if placement.running_at is None or placement.lost or job.cancelled:
+                return False
+            if job.spec.form is Form.ARRAY and now + span > placement.running_at + self._mean(job):
+                return False
+            free = free.minus(Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb))
+        return any(free.times(size) for size in self.sizes)
+
+    def _mean(self, job: Job) -> timedelta:
+        return self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)[0]
+
     def _closing(self, job: Job) -> list[timedelta]:
         """The owner's deadlines, from now on."""
         own = None if job.spec.deadline_s is None else timedelta(seconds=job.spec.deadline_s)
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -383,8 +383,9 @@
             patience = ZERO
             if self.woken.is_set():
                 patience = PLAN_TIME
-            if not machine.placements:
-                patience = min(self.params.workers.report * IDLE_SHARE, IDLE_MOST)
+            hold = min(self.params.workers.report * IDLE_SHARE, IDLE_MOST)
+            if not machine.placements or self.dispatcher.may_wait(machine, hold):
+                patience = hold
             machine.given.clear()
             if patience <= ZERO or not await self._happens(machine.given.wait(), patience):
                 return
