--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -181,7 +181,7 @@
         return fetch_time(job.spec.image_gb, max(rates, default=1.0))
 
     def may_wait(self, machine: Machine, span: timedelta) -> bool:
-        """Whether a busy machine has room for more, and none of its tasks is expected to end within
+        """Whether a busy machine has room for more, and none of its tasks is expected to end in
         this time: the report of an end would wait for the answer to the report before."""
         model = self.keeper.types.get(machine.kind.type) if machine.kind is not None else None
         if model is None or not machine.usable or machine.recall_at is not None:
