--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -18,6 +18,7 @@
 
 BOOTS_IN_INTERVAL = 2
 RENT_MOST = 50
+TAKEN = timedelta(seconds=1)  # after the moment named in a spot notice
 RETURN_MOST = 100
 ASIDE = timedelta(seconds=8)
 ASIDE_MOST = timedelta(seconds=30)
@@ -244,6 +245,9 @@
         now = self.clock.now()
         if machine.failed:
             return "it stopped on its own"
+        if machine.recall_at is not None and now > machine.recall_at + TAKEN:
+            # The answer proves that all on it is gone, a lease earlier than silence does.
+            return "it was to be taken by now"
         if machine.placements:
             return None
         if self.overdue(machine):
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -466,3 +466,29 @@
         assert rate < world.params.state.write_rps
 
     run(main())
+
+
+def test_a_notice_moves_what_would_be_lost_and_proves_the_rest_gone():
+    """A task that the notice doomed once ran on until the machine was taken, and began again only
+    when the worker's lease had run out: half a minute lost for each."""
+
+    async def main():
+        world = World(seed=18, lease_s=30.0)
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=2, vcpus=4.0, runS=40.0, expectedS=40.0, dueS=300.0))
+        await world.until(lambda: len(world.rules.running) == 2)
+        await world.submit(job(2, beats=1, vcpus=4.0, runS=8.0, expectedS=8.0, dueS=300.0))
+        await world.until(lambda: len(world.rules.running) == 3)
+        began = loop_time()
+        for worker in world.cloud.workers():
+            worker.recall_at = began + 12.0
+            worker.changed.set()
+        taken = [worker.name for worker in world.cloud.workers()]
+        await world.wait(12)
+        assert len(world.rules.jobs["j-000002"].done) == 1  # it had time enough
+        for name in taken:
+            world.cloud.machines.pop(name, None)  # the worker is silent, and nobody says so
+        await world.finish(["j-000001", "j-000002"])
+        assert loop_time() - began < 75
+
+    run(main())
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -18,6 +18,7 @@
 from datetime import timedelta
 
 from dappledrum.clock import ZERO, Clock
+from dappledrum.jobs.messages import Form
 from dappledrum.jobs.record import Job, Page, Placement
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.scheduling.lanes import Kind
@@ -92,8 +93,30 @@
                 self.wake("spot notice")
             machine.recall_at = now + timedelta(seconds=report.notice_s)
         self._compare(machine, report, now)
+        if machine.recall_at is not None:
+            self._leave_in_time(machine, machine.recall_at - now, now)
         return machine
 
+    def _leave_in_time(self, machine: Machine, left: timedelta, now: timedelta) -> None:
+        """Stop what won't be over when the cloud takes the machine, so that it begins elsewhere
+        now and not when the loss is proven; what keeps its progress, when it must save."""
+        for placement in machine.placements.values():
+            job = placement.page.job
+            if placement.lost or job.cancelled or job.spec.form is not Form.ARRAY:
+                continue
+            if job.spec.checkpoint_s > 0:
+                doomed = left <= job.spec.save * 1.5 + self.limits.report * 2
+            else:
+                mean, deviation = self.estimates.moments(
+                    job.id, job.spec.job_class, job.spec.estimate
+                )
+                ran = ZERO if placement.running_at is None else now - placement.running_at
+                # It is worth waiting for what has a fair chance.
+                doomed = mean - deviation / 2 - ran > left
+            if doomed:
+                placement.lost = True
+                log.info("%s/%d leaves %s in time", job.id, placement.task, machine.name)
+
     def _compare(self, machine: Machine, report: Report, now: timedelta) -> None:
         """Bring the placements in step with what the report shows."""
         shown: set[tuple[str, int, int]] = set()
