--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -475,9 +475,9 @@
     async def main():
         world = World(seed=18, lease_s=30.0)
         await world.until(lambda: world.leader() is not None)
-        await world.submit(job(1, beats=2, vcpus=4.0, runS=40.0, expectedS=40.0, dueS=300.0))
+        await world.submit(job(1, beats=2, vcpus=4.0, runS=40.0, expectedS=40.0, dueS=70.0))
         await world.until(lambda: len(world.rules.running) == 2)
-        await world.submit(job(2, beats=1, vcpus=4.0, runS=8.0, expectedS=8.0, dueS=300.0))
+        await world.submit(job(2, beats=1, vcpus=4.0, runS=8.0, expectedS=8.0, dueS=30.0))
         await world.until(lambda: len(world.rules.running) == 3)
         began = loop_time()
         for worker in world.cloud.workers():
