--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -487,7 +487,9 @@
         await world.wait(12)
         assert len(world.rules.jobs["j-000002"].done) == 1  # it had time enough
         for name in taken:
-            world.cloud.machines.pop(name, None)  # the worker is silent, and nobody says so
+            machine = world.cloud.machines.pop(name, None)  # and no list says so
+            if machine is not None:
+                machine.worker.vanish()
         await world.finish(["j-000001", "j-000002"])
         assert loop_time() - began < 75
 
