--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -201,13 +201,12 @@
         return self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)[0]
 
     def _closing(self, job: Job) -> list[timedelta]:
-        """The owner's deadlines, from now on."""
+        """The owner's deadlines, from now on: of a chain's last job also the later ones that the
+        objectives name. For jobs alone those cost ordinary machines, and brought nothing."""
         own = None if job.spec.deadline_s is None else timedelta(seconds=job.spec.deadline_s)
+        objectives = self.params.objectives if job.spec.needs else ()
         age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
-        return [
-            limit - age
-            for limit in closing_deadlines(self.params.objectives, job.spec.job_class, own)
-        ]
+        return [limit - age for limit in closing_deadlines(objectives, job.spec.job_class, own)]
 
     def _lanes(self, machine: Machine, now: timedelta) -> Lanes | None:
         kind = machine.kind
