--- a/dappledrum/test_idle.py
+++ b/dappledrum/test_idle.py
@@ -1,5 +1,8 @@
 """Work that nobody expects by any time: it gets idle room, gives it back, and still ends."""
 
+from datetime import timedelta
+
+from dappledrum.scheduling.lanes import Size
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 
@@ -46,3 +49,22 @@
         assert await world.cancel("j-000001") == "cancelled"
 
     run(main())
+
+
+def test_answers_wait_only_where_there_is_room_and_no_end_is_near():
+    """A worker has one report on its way, so news of an end would wait for the answer."""
+
+    async def main():
+        world = World(seed=22)
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=1, builds=["large"], runS=30.0, expectedS=30.0))
+        await world.until(lambda: len(world.rules.running) == 1)
+        await world.wait(3)
+        leader = world.nodes[world.leader()].leader
+        [machine] = [m for m in leader.roster if m.placements]
+        assert leader.dispatcher.may_wait(machine, timedelta(seconds=2))
+        assert not leader.dispatcher.may_wait(machine, timedelta(seconds=29))
+        leader.dispatcher.sizes = {Size(16.0, 0.0, 1.0)}  # nothing that would fit beside it
+        assert not leader.dispatcher.may_wait(machine, timedelta(seconds=2))
+
+    run(main())
--- a/dappledrum/test_main.py
+++ b/dappledrum/test_main.py
@@ -42,6 +42,7 @@
         (("member",), None, "member"),
         (("params", "workers", "lease_s"), "long", "lease_s"),
         (("params", "state", "txn_ops"), 0, "txn_ops"),
+        (("params", "state", "next"), {"txn_ops": "few"}, "next.txn_ops"),
         (("params", "teams"), None, "teams"),
         (("external", "state"), "nowhere", "state"),
     ],
--- a/dappledrum/test_upgrade.py
+++ b/dappledrum/test_upgrade.py
@@ -136,6 +136,33 @@
     run(main())
 
 
+def test_limits_that_drop_before_all_have_told_their_version():
+    """One controller does not come back for a while, so records are still written whole; the
+    first refusal tells, and nothing stays unwritable."""
+
+    async def main():
+        world = old_world(53)
+        await world.until(lambda: world.leader() is not None)
+        await submit_old(world)
+        missing = next(member for member in world.members if member != world.leader())
+        world.kill(missing)
+        for member in world.members:
+            if member != missing:
+                await world.upgrade(member)
+                await world.wait(4)
+        world.drop_limits()
+        await world.finish([name(3), name(4)])
+        assert 0 < len(world.state.too_large) < 12
+        assert await world.cancel(name(2)) == "cancelled"
+        world.old.clear()
+        world.start(missing)
+        await world.finish([name(1)])
+        await world.wait(25)
+        assert not world.rules.running
+
+    run(main())
+
+
 def placed(page):
     return {(p.task, p.attempt, p.machine, p.session, p.zone) for p in page.places.values()}
 
