--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -201,8 +201,8 @@
         return self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)[0]
 
     def _closing(self, job: Job) -> list[timedelta]:
-        """The owner's deadlines, from now on: of a chain's last job also the later ones that the
-        objectives name. For jobs alone those cost ordinary machines, and brought nothing."""
+        """The owner's deadlines, from now on; of a chain's last job also the later ones that the
+        objectives name. Jobs alone did no better with those (docs/limits.md)."""
         own = None if job.spec.deadline_s is None else timedelta(seconds=job.spec.deadline_s)
         objectives = self.params.objectives if job.spec.needs else ()
         age = max(self.clock.today() - job.accepted_at, ZERO) + self.params.workers.report
