Account of money: each paid second of each machine is booked under what it was spent on

The leader books each machine's time by CPUs as boot, fetch, running (kept or lost, by how), idle (by reason) and returning; one line a minute. No change of decisions.

--- /dev/null
+++ b/dappledrum/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Where the money goes: each paid second of each machine, booked under what it was spent on."""
--- /dev/null
+++ b/dappledrum/accounts/ledger.py
@@ -0,0 +1,164 @@
+"""The account of one term of leadership.
+
+Derived from what the leader knows anyway, in steps of a second or two, so it costs nothing but
+the steps: no message and no record depends on it. An attempt's time is carried by the attempt
+until its end says whether it was kept or lost. The sum of all lines is the money spent on the
+machines known; that is the invariant that the tests check.
+"""
+
+import logging
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from datetime import timedelta
+
+from dappledrum.accounts.entries import Entry, Want, why_idle
+from dappledrum.clock import ZERO, Clock
+from dappledrum.fleet.messages import MachineType
+from dappledrum.jobs.record import Placement
+from dappledrum.scheduling.lanes import Kind, Size
+from dappledrum.workers.roster import Machine, Roster
+
+log = logging.getLogger(__name__)
+
+STEP = timedelta(seconds=2)
+TOLD_EVERY = timedelta(minutes=1)
+SHOWN = 0.005  # lines below this share are left out of the log
+
+#: Money in the currency of the catalog.
+Lines = Counter[Entry]
+
+
+def shown(lines: Mapping[Entry, float]) -> str:
+    """An account for the log, largest first."""
+    total = sum(lines.values())
+    if total <= 0:
+        return "nothing"
+    rows = sorted(lines.items(), key=lambda row: -row[1])
+    return "; ".join(
+        f"{entry} {amount / total:.1%}" for entry, amount in rows if amount / total >= SHOWN
+    )
+
+
+class _Account:
+    """One machine."""
+
+    __slots__ = ("at", "lines", "kind")
+
+    def __init__(self, at: timedelta, kind: Kind) -> None:
+        self.at = at
+        self.lines: Lines = Counter()
+        self.kind = kind
+
+
+class Ledger:
+    """Books what is spent; `step` is called every now and then."""
+
+    def __init__(self, roster: Roster, clock: Clock, began: timedelta) -> None:
+        self.roster = roster
+        self.clock = clock
+        self.began = began
+        self.accounts: dict[str, _Account] = {}
+        self.recent: Lines = Counter()  # since it was last told
+        self.ordinary = 0.0  # of that on machines that are not spot
+        self.told_at = began
+
+    def step(
+        self,
+        types: Mapping[str, MachineType],
+        wants: Sequence[Want],
+        available: Iterable[str] | None = None,
+    ) -> None:
+        """Book the time since the last step; `available`: machines that new work may use."""
+        now = self.clock.now()
+        usable = None if available is None else set(available)
+        for machine in self.roster:
+            model = types.get(machine.kind.type) if machine.kind is not None else None
+            if machine.kind is None or model is None:
+                continue
+            account = self.accounts.get(machine.name)
+            if account is None:
+                # What was spent under a predecessor is in the predecessor's account.
+                start = max(machine.rented_at, self.began)
+                account = self.accounts[machine.name] = _Account(start, machine.kind)
+            span = max(now - account.at, ZERO)
+            account.at = now
+            money = span / timedelta(hours=1) * model.hourly(machine.kind.spot)
+            free = usable is None or machine.name in usable
+            self._book(account, machine, model, money, wants, free)
+        for name in [name for name in self.accounts if name not in self.roster.machines]:
+            account = self.accounts.pop(name)
+            total = sum(account.lines.values())
+            log.debug("%s is gone, %.4f spent on it: %s", name, total, shown(account.lines))
+
+    def _book(
+        self,
+        account: _Account,
+        machine: Machine,
+        model: MachineType,
+        money: float,
+        wants: Sequence[Want],
+        usable: bool,
+    ) -> None:
+        if machine.returning:
+            self._add(account, Entry.RETURNING, money)
+            return
+        if not machine.up:
+            self._add(account, Entry.BOOT, money)
+            return
+        size = Size(model.cpus, model.gpus, model.memory_gb)
+        free = size
+        left = 1.0
+        assert machine.kind is not None
+        for placement in machine.placements.values():
+            spec = placement.page.job.spec
+            free = free.minus(Size(spec.cpus, spec.gpus, spec.memory_gb))
+            share = min(left, spec.cpus / model.cpus) if model.cpus > 0 else left
+            left -= share
+            if placement.running_at is not None:
+                placement.spent += money * share
+                self._add(account, Entry.RUNNING, money * share)
+            elif placement.gathering:
+                self._add(account, Entry.GATHER, money * share)
+            else:
+                entry = Entry.FETCH if placement.seen else Entry.BOOKED
+                self._add(account, entry, money * share)
+        if left > 1e-9:
+            reason = why_idle(machine.kind, free, not machine.placements, wants)
+            if not usable and reason not in (Entry.IDLE, Entry.REST):
+                reason = Entry.UNUSABLE
+            self._add(account, reason, money * left)
+
+    def _add(self, account: _Account, entry: Entry, money: float) -> None:
+        account.lines[entry] += money
+        self.recent[entry] += money
+        if not account.kind.spot:
+            self.ordinary += money
+
+    def settle(self, placement: Placement, entry: Entry) -> None:
+        """An attempt is over: what it has cost was kept, or lost in one way."""
+        account = self.accounts.get(placement.machine)
+        if account is not None and placement.spent > 0:
+            for lines in (account.lines, self.recent):
+                lines[Entry.RUNNING] -= placement.spent
+                lines[entry] += placement.spent
+        placement.spent = 0.0
+
+    def tell(self, at_once: bool = False) -> None:
+        """One line a minute: what was booked since the last one, so that the lines of all leaders
+        add up."""
+        now = self.clock.now()
+        if not at_once and now - self.told_at < TOLD_EVERY:
+            return
+        total = sum(self.recent.values())
+        if total > 0:
+            log.info(
+                "%.3f spent in %.0f s on %d machines, %.0f%% on ordinary ones: %s",
+                total,
+                (now - self.told_at).total_seconds(),
+                len(self.accounts),
+                100 * self.ordinary / total,
+                shown({entry: max(amount, 0.0) for entry, amount in self.recent.items()}),
+            )
+        self.told_at = now
+        self.recent.clear()
+        self.ordinary = 0.0
--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from dappledrum.accounts.entries import Want
 from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.keeper import RENT_MOST, Keeper
 from dappledrum.fleet.messages import MachineType
@@ -197,6 +198,37 @@
             free = free.minus(Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb))
         return any(free.times(size) for size in self.sizes)
 
+    def wants(self) -> list[Want]:
+        """What waits for room, for the account; alike jobs once."""
+        room = self._team_room()
+        now = self.clock.now()
+        result: dict[Hashable, Want] = {}
+        for job in self.jobs.values():
+            spec = job.spec
+            if job.cancelled or job.over or job.unmet or now < job.retry_at or job.waiting() <= 0:
+                continue
+            types = None if spec.types is None else tuple(spec.types)
+            size = Size(spec.cpus, spec.gpus, spec.memory_gb)
+            likeness = (size, types, spec.zone, spec.spot, spec.team)
+            if likeness not in result:
+                left = room.get(spec.team)
+                has = left is None or left.times(Size(spec.cpus, spec.gpus, 0.0)) >= 1
+                result[likeness] = Want(size, self._allowed(job, set()), has)
+        return list(result.values())
+
+    def available(self) -> list[str]:
+        """Machines that new work may use at this moment, for the account."""
+        now = self.clock.now()
+        report = self.params.workers.report
+        return [
+            m.name
+            for m in self.roster
+            if m.up
+            and m.usable
+            and now >= m.blocked_until
+            and not m.silent(now, report, self.awake_since)
+        ]
+
     def _mean(self, job: Job) -> timedelta:
         return self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)[0]
 
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -81,6 +81,8 @@
         "zone",
         "page",
         "lost",
+        "gathering",
+        "spent",
     )
 
     def __init__(
@@ -106,6 +108,8 @@
         self.offered_tick = -1  # tick of the newest report whose answer carried the start
         self.stopping: timedelta | None = None  # when the first stop was sent
         self.lost = False  # to be given up as soon as that is proven safe
+        self.gathering = False  # has its image and waits for the rest of its gang
+        self.spent = 0.0  # money that its run time has cost so far, see `accounts`
 
 
 class Page:
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from dappledrum.accounts.ledger import STEP, Ledger
 from dappledrum.chains.graph import Graph
 from dappledrum.chains.resolver import Resolver
 from dappledrum.clock import ZERO, Clock
@@ -80,6 +81,7 @@
         self.jobs: dict[str, Job] = {}
         self.over: OrderedDict[str, None] = OrderedDict()
         self.roster = Roster()
+        self.ledger = Ledger(self.roster, clock, clock.now())
         self.estimates = Estimates()
         self.recorder = Recorder(state, term, params.state, ceiling, clock)
         self.recorder.on_ended = self._ended
@@ -95,6 +97,7 @@
             term.epoch,
             self.recorder.mark,
             self.wake,
+            self.ledger,
         )
         self.keeper = Keeper(
             cloud,
@@ -148,6 +151,7 @@
             self._guard(self._sweep),
             self._guard(self._resolve),
             self._guard(self._remember),
+            self._guard(self._account),
             self._guard(self.keeper.rent_loop),
             self._guard(self.keeper.return_loop),
             self._guard(self.keeper.list_loop),
@@ -331,6 +335,19 @@
         await self.loaded.wait()
         await self.memory.run()
 
+    async def _account(self) -> None:
+        """Book what is spent; what is not told yet is told when the term ends."""
+        await self.loaded.wait()
+        try:
+            while True:
+                await asyncio.sleep(STEP.total_seconds())
+                self.ledger.step(
+                    self.keeper.types, self.dispatcher.wants(), self.dispatcher.available()
+                )
+                self.ledger.tell()
+        finally:
+            self.ledger.tell(at_once=True)
+
     async def _resolve(self) -> None:
         await self.loaded.wait()
         await self.resolver.run()
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -17,6 +17,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from dappledrum.accounts.entries import Entry
+from dappledrum.accounts.ledger import Ledger
 from dappledrum.clock import ZERO, Clock
 from dappledrum.jobs.messages import Form
 from dappledrum.jobs.record import Job, Page, Placement
@@ -48,7 +50,9 @@
         token: int,
         mark: Callable[[Page], None],
         wake: Callable[[str], None],
+        ledger: Ledger | None = None,
     ) -> None:
+        self.ledger = ledger or Ledger(roster, clock, clock.now())
         self.jobs = jobs
         self.roster = roster
         self.estimates = estimates
@@ -131,7 +135,7 @@
         for placement in list(machine.placements.values()):
             job_id = placement.page.job.id
             if placement.session < report.session:
-                self._lost(machine, placement, "its session is over")
+                self._lost(machine, placement, "its session is over", Entry.LOST_SILENT)
             elif (
                 job_id,
                 placement.task,
@@ -143,7 +147,7 @@
                 and report.sequence > placement.offered_tick
                 and (placement.seen or placement.lost or not self._wanted(placement))
             ):
-                self._lost(machine, placement, "no longer there")
+                self._lost(machine, placement, "no longer there", Entry.LOST_STOPPED)
 
     def _item(
         self, machine: Machine, job: Job, task: int, item: TaskReport, now: timedelta
@@ -188,6 +192,7 @@
         elif placement is not None and item.cause == Cause.UNKNOWN:
             job.retry_at = now + RETRY
         if placement is not None:
+            self.ledger.settle(placement, self._worth(job, item))
             self._remove(machine, placement)
             self.wake("task ended")
         self.mark(page)
@@ -237,10 +242,20 @@
             page.remove(placement.task)
             self.mark(page)
 
-    def _lost(self, machine: Machine, placement: Placement, why: str) -> None:
+    @staticmethod
+    def _worth(job: Job, item: TaskReport) -> Entry:
+        """Whether the time of an attempt that has ended was kept."""
+        if item.cause == Cause.DONE or item.saved:
+            return Entry.KEPT
+        if job.cancelled:
+            return Entry.LOST_CANCELLED
+        return Entry.LOST_ERROR if item.cause == Cause.ERROR else Entry.LOST_STOPPED
+
+    def _lost(self, machine: Machine, placement: Placement, why: str, entry: Entry) -> None:
         log.info(
             "%s/%d on %s is gone: %s", placement.page.job.id, placement.task, machine.name, why
         )
+        self.ledger.settle(placement, entry)
         self._remove(machine, placement)
         self.wake("task lost")
 
@@ -326,14 +341,13 @@
         for machine in self.roster:
             if machine.placements and machine.expired(now, self.limits.lease):
                 for placement in list(machine.placements.values()):
-                    self._lost(
-                        machine, placement, "the machine is silent for longer than its lease"
-                    )
+                    why = "the machine is silent for longer than its lease"
+                    self._lost(machine, placement, why, Entry.LOST_SILENT)
 
     def returned(self, machine: Machine) -> None:
         """The cloud has confirmed that the machine, with all that was on it, is gone."""
         for placement in list(machine.placements.values()):
-            self._lost(machine, placement, "the machine was returned")
+            self._lost(machine, placement, "the machine was returned", Entry.LOST_TAKEN)
         self.roster.drop(machine.name)
 
     def evict(self, placement: Placement) -> None:
