--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -523,48 +523,90 @@
     # what the plan changes
 
     def _cheapen(self, plan: Plan, lanes: list[Lanes]) -> None:
-        """Replace busy ordinary machines by spot machines of their type and zone.
-
-        A large machine is never idle at the end of an interval while small tasks come and go, so
-        the ordinary machines of one bad moment stayed for the day. In calm times spot machines
-        are rented beside them, and where those have as much room as an ordinary machine, and some
-        to spare, it gets no new work. When anything would be late, all machines are used.
+        """Let spot machines carry what ordinary ones do, as far as they have room to spare.
+
+        A large machine is never idle at the end of an interval while small tasks come and go, and
+        what has an image finishes first there, so the ordinary machines of one bad moment stayed
+        for the day while spot machines beside them fell idle and went back. So an ordinary machine
+        gets no new work once spot machines have as much room free, after all that the plan counts
+        on, and some to spare; whether something is late does not matter then, as it could start in
+        that room. In calm times spot machines are rented beside them, too. Without spare room,
+        and with anything late, all machines are used.
         """
         retiring = [machine for machine in self.roster if machine.retiring]
-        if plan.late or any(not job.spec.spot for job in self.jobs.values()):
+        spare = self._spare(lanes) - sum(self._used(machine) for machine in retiring)
+        bound = any(not job.spec.spot for job in self.jobs.values())
+        if bound or (plan.late and spare <= 0):
             for machine in retiring:
                 machine.retiring = False
             return
-        by_kind: dict[Kind, list[Lanes]] = {}
-        for view in lanes:
-            by_kind.setdefault(view.kind, []).append(view)
-        for kind, own in by_kind.items():
-            model = self.keeper.types.get(kind.type)
-            cheaper = kind._replace(spot=True)
-            if kind.spot or model is None or model.spot_price is None or model.cpus <= 0:
-                continue
-            if model.spot_price >= model.price:
-                continue
-            others = by_kind.get(cheaper, [])
-            room = sum(view.free[0].cpus for view in others if not view.booting)
-            room -= model.cpus * len(others) * HEADROOM
-            room -= model.cpus * sum(machine.kind == kind for machine in retiring)
-            candidates = [
-                machine
-                for view in own
-                if not view.booting
-                and (machine := self.roster.get(view.machine)) is not None
-                and all(p.page.job.spec.form is Form.ARRAY for p in machine.placements.values())
-            ]
-            candidates.sort(key=lambda machine: len(machine.placements))
-            spare = min(len(candidates), max(0, int(room // model.cpus)))
-            for machine in candidates[:spare]:
+        ordinary = [
+            (view, machine)
+            for view in lanes
+            if not view.kind.spot
+            and not view.booting
+            and (machine := self.roster.get(view.machine)) is not None
+            and self._has_spot(view.kind)
+            and all(p.page.job.spec.form is Form.ARRAY for p in machine.placements.values())
+        ]
+        ordinary.sort(key=lambda pair: (-pair[0].hourly_cpu, len(pair[1].placements)))
+        left = 0.0
+        for _, machine in ordinary:
+            used = self._used(machine)
+            if used < spare:
                 log.info("%s gets no new work: spot machines have room for it", machine.name)
                 machine.retiring = True
-            left = len(candidates) - spare
-            calm = not plan.rentals and not any(view.booting for view in others)
-            if left and calm and self.keeper.offered(cheaper):
-                plan.rentals[cheaper] = min(left, max(1, int(len(lanes) * SWAPPED)))
+                spare -= used
+            else:
+                left += used
+        # What would go back is worth more as room for what ordinary machines still do.
+        self.keeper.keep_spot = bool(ordinary)
+        if left > 0 and not plan.late and not plan.rentals:
+            plan.rentals.update(self._swap(left - spare, lanes))
+
+    def _swap(self, cpus: float, lanes: list[Lanes]) -> dict[Kind, int]:
+        """Spot machines to rent for work that now runs on ordinary ones: the cheapest on which all
+        that is live fits, a tenth of the fleet at a time."""
+        coming = sum(view.capacity for view in lanes if view.booting and view.kind.spot)
+        cpus = min(cpus, SWAPPED * sum(view.capacity for view in lanes)) - coming
+        result: dict[Kind, int] = {}
+        models = [m for m in self.keeper.types.values() if m.spot_price is not None and m.cpus > 0]
+        for model in sorted(models, key=lambda m: m.hourly(True) / m.cpus):
+            whole = Size(model.cpus, model.gpus, model.memory_gb)
+            if any(whole.times(size) < 1 for size in self.sizes):
+                continue
+            for zone in model.zones:
+                kind = Kind(model.name, zone, True)
+                count = min(math.ceil(cpus / model.cpus), RENT_MOST)
+                if count > 0 and self._has_spot(kind) and self.keeper.offered(kind):
+                    result[kind] = count
+                    cpus -= count * model.cpus
+        return result
+
+    @staticmethod
+    def _used(machine: Machine) -> float:
+        """CPUs that tasks hold on a machine."""
+        return sum(p.page.job.spec.cpus for p in machine.placements.values())
+
+    def _has_spot(self, kind: Kind) -> bool:
+        """Whether a machine of the type would cost less as a spot machine."""
+        model = self.keeper.types.get(kind.type)
+        return (
+            model is not None and model.spot_price is not None and model.spot_price < model.price
+        )
+
+    def _spare(self, lanes: list[Lanes]) -> float:
+        """CPUs on spot machines that are up and that the plan has no use for, in room for the
+        largest tasks, less a share that stays free."""
+        spot = [view for view in lanes if view.kind.spot and not view.booting]
+        free = 0.0
+        for view in spot:
+            model = self.keeper.types[view.kind.type]
+            whole = Size(model.cpus, model.gpus, model.memory_gb)
+            fitting = [size for size in self.sizes if whole.times(size) >= 1]
+            size = max(fitting, key=lambda one: one.cpus, default=whole)
+            free += view.free[0].times(size) * size.cpus
+        return free - HEADROOM * sum(view.capacity for view in spot)
 
     def _release_from_idle(self, plan: Plan, now: timedelta) -> None:
         """An ordinary machine on which only idle work is left goes back like an idle one.
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -58,6 +58,7 @@
         self.types: dict[str, MachineType] = {}
         self.wanted: dict[Kind, int] = {}  # from the newest plan
         self.needed: set[str] = set()  # machines that the newest plan counts on
+        self.keep_spot = False  # idle spot machines are wanted for what ordinary ones do
         self.aside: dict[
             Kind, tuple[timedelta, timedelta]
         ] = {}  # until when, and for how long it was
@@ -266,6 +267,8 @@
             return "it has no work that it is needed for"
         if not machine.up or not self.planned or machine.name in self.needed:
             return None
+        if self.keep_spot and machine.kind is not None and machine.kind.spot:
+            return None
         interval = self.interval(machine.kind) if machine.kind is not None else self.base_interval
         left = interval - (now - machine.rented_at) % interval
         return "it is idle at the end of its interval" if left <= timedelta(seconds=1) else None
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -139,7 +139,11 @@
                 bag, count
             )  # also for what only waits: nobody else may count on it
             zones = self._zones(bag, count)
-            placed = self._fill(bag, count, zones)
+            # Room that is paid for costs nothing more on paper; by the second, what an ordinary
+            # machine does not do lets it go back. So spot room goes first while it is in time.
+            placed = self._fill(bag, count, zones, cheap=True)
+            if placed < count:
+                placed += self._fill(bag, count - placed, zones)
             if placed < count and self._passes(bag) and not bag.held:
                 left.append((bag, count - placed))
             yield
@@ -194,12 +198,12 @@
         if gap.start <= self.now and not lanes.booting:
             self.plan.starts.append((bag.id, lanes.machine, count))
 
-    def _fill(self, bag: Bag, count: int, zones: set[str] | None) -> int:
+    def _fill(self, bag: Bag, count: int, zones: set[str] | None, cheap: bool = False) -> int:
         """Algorithm 1: the earliest finish among lanes whose billed intervals stay the same.
 
         Machines are taken up in the order in which they have room, and looked at closely only
         when no other can be better: a plan for hundreds of machines would otherwise compare each
-        of them for each placement.
+        of them for each placement. `cheap`: on spot machines only, and only what is in time there.
         """
         fetch = _Fetch(bag.image_gb)
         # A row without a gap is a bound: of one machine, or (index below 0) of all the rest of its
@@ -207,6 +211,8 @@
         heap: list[tuple[timedelta, float, timedelta, int, Gap | None]] = []
         rest: list[tuple[Sequence[Row], int]] = []
         for kind in self.rooms.by_kind:
+            if cheap and not kind.spot:
+                continue
             if bag.allowed(kind) and (zones is None or kind.zone in zones):
                 rest.append((tuple(self.rooms.order(kind, bag.size)), 0))
                 heap.append((ZERO, -1.0, ZERO, -len(rest), None))
@@ -232,7 +238,7 @@
                 start, finish = lanes.bound(
                     bag.size, bag.run, bag.image, fetch.time(lanes.fetch_gb_per_s)
                 )
-                if self._fits(bag, lanes, start, finish):
+                if self._fits(bag, lanes, start, finish, cheap):
                     heappush(heap, (finish, lanes.hourly_cpu, -lanes.committed, lanes.index, None))
                 continue
             lanes = self.lanes[index]
@@ -245,19 +251,23 @@
                 placed += take
             gap = lanes.earliest(bag.size, bag.run, bag.image, bag.image_gb)
             self.examined += 1
-            if gap is not None and self._fits(bag, lanes, gap.start, gap.finish):
+            if gap is not None and self._fits(bag, lanes, gap.start, gap.finish, cheap):
                 heapreplace(heap, (gap.finish, lanes.hourly_cpu, -lanes.committed, index, gap))
             else:
                 heappop(heap)
         return placed
 
-    def _fits(self, bag: Bag, lanes: Lanes, start: timedelta, finish: timedelta) -> bool:
+    def _fits(
+        self, bag: Bag, lanes: Lanes, start: timedelta, finish: timedelta, cheap: bool = False
+    ) -> bool:
         """Whether Algorithm 1 may use this room.
 
         The paper's rule has no eye on deadlines, and would queue a task on a paid lane until long
         after its own: a task that would both wait and be late is left to Algorithm 2, which can
         rent.
         """
+        if cheap and (start > self.now or finish > bag.due):
+            return False
         in_time = start <= self.now or self._likely(bag, lanes, start, finish) <= bag.due
         return in_time and finish <= lanes.billed_until()
 
