--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -11,6 +11,7 @@
 from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.keeper import RENT_MOST, Keeper
 from dappledrum.fleet.messages import MachineType
+from dappledrum.gangs.whole import give_up, is_gang
 from dappledrum.jobs.intake import allowed
 from dappledrum.jobs.messages import RANKS, Form, Priority
 from dappledrum.jobs.record import Job, Page, Placement
@@ -118,8 +119,7 @@
         turn = now
         placed = 0
         for _ in planner.steps(bags):
-            for bag, name, count in plan.starts[placed:]:
-                self._place_some(bag, name, count)
+            self._start(plan.starts[placed:])
             placed = len(plan.starts)
             if self.clock.now() - turn > TURN:
                 await asyncio.sleep(0)
@@ -193,7 +193,10 @@
             job = placement.page.job
             if placement.running_at is None or placement.lost or job.cancelled:
                 return False
-            if job.spec.form is Form.ARRAY and now + span > placement.running_at + self._mean(job):
+            if (
+                job.spec.form is not Form.SERVICE
+                and now + span > placement.running_at + self._mean(job)
+            ):
                 return False
             free = free.minus(Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb))
         return any(free.times(size) for size in self.sizes)
@@ -310,7 +313,14 @@
             if bag is None:
                 continue
             spec = job.spec
-            if spec.tasks > SMALL or bag.held or bag.unready or spec.one_zone or spec.spread:
+            if (
+                spec.tasks > SMALL
+                or bag.gang
+                or bag.held
+                or bag.unready
+                or spec.one_zone
+                or spec.spread
+            ):
                 result.append(bag)
                 continue
             likeness = (
@@ -334,7 +344,10 @@
 
     def _bag(self, job: Job, now: timedelta) -> Bag | None:
         spec = job.spec
-        ready = min(job.waiting(), MOST_READY)
+        gang = is_gang(job)
+        ready = job.waiting() if gang else min(job.waiting(), MOST_READY)
+        if gang and job.on_machines():
+            return None  # whole on machines, or what is left of it is on its way off
         if ready <= 0 or job.cancelled or job.over or now < job.retry_at or job.unmet:
             return None
         held = suspected(job)
@@ -373,7 +386,7 @@
         return Bag(
             id=job.id,
             size=Size(spec.cpus, spec.gpus, spec.memory_gb),
-            ready=1 if held else ready,
+            ready=1 if held and not gang else ready,
             unready=0 if stage is None else stage.tasks - stage.ready,
             beside=0 if stage is None else max(0, stage.ready - job.waiting()),
             total=spec.tasks if stage is None else stage.tasks,
@@ -394,6 +407,7 @@
             waited=waited,
             thrifty=missed,
             idle=idle,
+            gang=gang,
         )
 
     def _rank(self, job: Job, missed: int, latest_start: timedelta) -> tuple[float, ...]:
@@ -547,7 +561,7 @@
             and not view.booting
             and (machine := self.roster.get(view.machine)) is not None
             and self._has_spot(view.kind)
-            and all(p.page.job.spec.form is Form.ARRAY for p in machine.placements.values())
+            and all(p.page.job.spec.form is not Form.SERVICE for p in machine.placements.values())
         ]
         ordinary.sort(key=lambda pair: (-pair[0].hourly_cpu, len(pair[1].placements)))
         left = 0.0
@@ -664,12 +678,17 @@
                     ran = ZERO if placement.running_at is None else now - placement.running_at
                     if other.spec.checkpoint_s > 0:
                         ran = min(ran, other.spec.save)
+                    # A gang goes whole, so each of its tasks costs all of them.
+                    ran *= other.on_machines() if is_gang(other) else 1
                     victims.append(Victim(placement, size, ran))
             hosts.append(Host(machine.name, free, victims))
-        for victim in choose(bag.size, min(late, MOST_STOPPED), hosts):
+        most = late if bag.gang else min(late, MOST_STOPPED)
+        for victim in choose(bag.size, most, hosts, whole=bag.gang):
             assert isinstance(victim, Placement)
             log.info("stopping %s/%d for %s", victim.page.job.id, victim.task, job.id)
             victim.lost = True
+            if is_gang(victim.page.job):
+                give_up(victim.page.job)
 
     @staticmethod
     def _yields(other: Job, job: Job, guaranteed: set[str]) -> bool:
@@ -684,6 +703,35 @@
             and other.spec.team != job.spec.team
         )
 
+    def _start(self, starts: list[tuple[str, str, int]]) -> None:
+        """Place what one step of the plan starts."""
+        gangs: dict[str, list[tuple[str, int]]] = {}
+        for bag, name, count in starts:
+            job = self.jobs.get(bag)
+            if job is not None and is_gang(job):
+                gangs.setdefault(bag, []).append((name, count))
+            else:
+                self._place_some(bag, name, count)
+        for bag, shares in gangs.items():
+            self._place_whole(self.jobs[bag], shares)
+
+    def _place_whole(self, job: Job, shares: list[tuple[str, int]]) -> None:
+        """Place all tasks of a gang, or none: nothing of it is written before this is over, as
+        nobody else gets a turn meanwhile."""
+        if job.on_machines() or sum(count for _, count in shares) < job.waiting():
+            return
+        # Workers run a gang once all of one attempt are there, so its members share the number.
+        attempt = job.next_attempt()
+        placed = sum(self._place(job.id, name, count, attempt) for name, count in shares)
+        if job.waiting() == 0 or placed == 0:
+            return
+        log.info("%s is not placed: room for %d of %d tasks", job.id, placed, job.spec.tasks)
+        for placement in list(job.placements()):
+            machine = self.roster.get(placement.machine)
+            if machine is not None:
+                machine.placements.pop((job.id, placement.task), None)
+            placement.page.remove(placement.task)
+
     def _place_some(self, bag: str, name: str, count: int) -> None:
         """Place tasks of a bag, which may be those of several jobs."""
         members = self.members.get(bag)
@@ -695,7 +743,7 @@
             if count > 0 or members[0].waiting() <= 0:
                 members.pop(0)
 
-    def _place(self, job_id: str, name: str, count: int) -> int:
+    def _place(self, job_id: str, name: str, count: int, attempt: int | None = None) -> int:
         """Count tasks as on a machine, if both are still as they were when the plan began;
         returns how many."""
         job = self.jobs.get(job_id)
@@ -714,7 +762,9 @@
             for task in page.free():
                 if count <= 0 or bound > limit:
                     break
-                placement = page.place(task, name, machine.session, machine.kind.zone, today)
+                placement = page.place(
+                    task, name, machine.session, machine.kind.zone, today, attempt
+                )
                 machine.placements[(job.id, task)] = placement
                 machine.given.set()
                 count -= 1
--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -6,22 +6,14 @@
 """
 
 import asyncio
-import logging
 from datetime import UTC, datetime, timedelta
 
-import msgspec
-
 from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.messages import BootingRecord, FleetRecord
-from dappledrum.leadership.elector import Term
 from dappledrum.scheduling.lanes import Kind
-from dappledrum.state.budget import Rank
-from dappledrum.state.client import State, StateError, raw
-from dappledrum.state.messages import Put
+from dappledrum.state.hint import Hint
 from dappledrum.workers.roster import Roster
 
-log = logging.getLogger(__name__)
-
 FLEET = "fleet"
 KEPT = timedelta(minutes=10)
 NAME_BYTES = 32  # of the value for each machine, so that it stays within what the service takes
@@ -31,22 +23,18 @@
 class FleetMemory:
     """Writes the record when it has changed, for one term."""
 
-    def __init__(
-        self, state: State, term: Term, roster: Roster, clock: Clock, value_bytes: int
-    ) -> None:
-        self.state = state
-        self.term = term
+    def __init__(self, hint: Hint[FleetRecord], roster: Roster, clock: Clock) -> None:
+        self.hint = hint
         self.roster = roster
         self.clock = clock
-        self.most = value_bytes // NAME_BYTES
-        self.stored: FleetRecord | None = None
+        self.most = hint.value_bytes // NAME_BYTES
 
     def _record(self) -> FleetRecord:
         today = self.clock.today()
         now = self.clock.now()
         known = {
             name: row.at_ms
-            for row in (self.stored.booting if self.stored is not None else ())
+            for row in (self.hint.stored.booting if self.hint.stored is not None else ())
             for name in row.names
         }
         groups: dict[tuple[Kind, int], list[str]] = {}
@@ -63,34 +51,18 @@
         return FleetRecord(rows)
 
     async def run(self) -> None:
-        """Keep the record current; it is not worth a retry of its own."""
+        """Keep the record current."""
         while True:
             await asyncio.sleep(PAUSE.total_seconds())
-            record = self._record()
-            if record == self.stored:
-                continue
-            try:
-                await self.state.commit(
-                    [self.term.guard()], [Put(FLEET, raw(record))], Rank.RECORD
-                )
-                self.stored = record
-            except StateError as error:
-                log.info("fleet record not written: %s", error)
+            await self.hint.keep(self._record())
 
     async def recall(self) -> None:
         """Take over what a predecessor has rented."""
-        try:
-            entry = await self.state.get(FLEET, Rank.RECORD)
-            rows = (
-                msgspec.json.decode(entry.value, type=FleetRecord).booting
-                if entry is not None
-                else []
-            )
-        except (StateError, msgspec.DecodeError) as error:
-            log.info("fleet record not read: %s", error)
+        record = await self.hint.recall()
+        if record is None:
             return
         now = self.clock.now()
-        for row in rows:
+        for row in record.booting:
             age = max(self.clock.today() - datetime.fromtimestamp(row.at_ms / 1000, UTC), ZERO)
             for name in row.names if age < KEPT else ():
                 if self.roster.get(name) is None:
--- /dev/null
+++ b/dappledrum/gangs/__init__.py
@@ -0,0 +1,1 @@
+"""Gangs: jobs whose tasks run together or not at all."""
--- /dev/null
+++ b/dappledrum/gangs/together.py
@@ -0,0 +1,187 @@
+"""When and where all tasks of a gang can run at the same time.
+
+The paper's bags have independent tasks, so Algorithms 1 and 2 place one task after the other, each
+as early or as cheaply as it can be had alone. A gang needs all its room at one moment. The
+smallest exception: the earliest moment at which the machines at hand have room for all of it; or,
+as in Algorithm 2, the kind of machine that, rented beside them, gives the least overrun and then
+the least added cost. Room found for a later moment is reserved in the plan, so that what comes
+after it in the order can use it only until then, and two gangs never wait for each other's halves.
+"""
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from typing import NamedTuple, Protocol
+
+from dappledrum.clock import ZERO
+from dappledrum.scheduling.lanes import Kind, Lanes, Size, fetch_time
+
+PROBED = 24  # moments tried at first; a fleet has thousands at which something ends
+REFINED = 5
+SLACK = timedelta(milliseconds=500)
+
+
+class OfferLike(Protocol):
+    """What is known of a kind of machine that can be rented."""
+
+    kind: Kind
+    capacity: Size
+    hourly: float
+    boot: timedelta
+    fetch_gb_per_s: float
+    interval: timedelta
+    most: int
+
+
+class Gang(NamedTuple):
+    """What has to run together."""
+
+    size: Size
+    count: int
+    run: timedelta
+    due: timedelta
+    image: str
+    image_gb: float
+    allowed: Callable[[Kind], bool]
+    zone_room: dict[str, int] | None = None  # spread: how many tasks each zone may take
+
+
+class Room(NamedTuple):
+    """A moment, the tasks on each machine at hand, and the machines to rent."""
+
+    start: timedelta
+    finish: timedelta
+    shares: list[tuple[int, int]]  # index of the machine, tasks
+    rented: dict[Kind, tuple[int, int]]  # machines, tasks on them
+    cost: float
+
+
+def room_at(lanes: Lanes, size: Size, start: timedelta, finish: timedelta) -> int:
+    """How many tasks a machine can run from one moment to another."""
+    times, free = lanes.times, lanes.free
+    if start < times[0] or (lanes.until is not None and finish > lanes.until):
+        return 0
+    count = 0
+    for at in range(len(times) - 1, -1, -1):
+        if times[at] >= finish:
+            continue
+        fit = free[at].times(size)
+        count = fit if count == 0 else min(count, fit)
+        if fit == 0 or times[at] <= start:
+            return min(count, fit)
+    return count
+
+
+class Search:
+    """One gang on the machines of one plan."""
+
+    def __init__(
+        self, gang: Gang, lanes: Sequence[Lanes], offers: Sequence[OfferLike], now: timedelta
+    ) -> None:
+        self.gang = gang
+        self.now = now
+        self.lanes = [one for one in lanes if gang.allowed(one.kind)]
+        # The cheapest first, then those that are committed for longest: the others fall idle.
+        self.lanes.sort(key=lambda one: (one.hourly_cpu, -one.committed, one.index))
+        self.offers = [one for one in offers if gang.allowed(one.kind)]
+        rates = [one.fetch_gb_per_s for one in self.lanes if gang.image not in one.images]
+        rates += [one.fetch_gb_per_s for one in self.offers]
+        # The last image decides when the gang begins, so all are held for that long.
+        fetch = fetch_time(gang.image_gb, min(rates)) if rates else ZERO
+        self.span = gang.run + fetch
+
+    def shares(self, start: timedelta) -> tuple[list[tuple[int, int]], dict[str, int] | None, int]:
+        """Tasks on the machines at hand at one moment, what zones may still take, and how many
+        tasks are left over."""
+        left = self.gang.count
+        zones = None if self.gang.zone_room is None else dict(self.gang.zone_room)
+        result = []
+        for one in self.lanes:
+            if left <= 0:
+                break
+            most = left if zones is None else min(left, zones.get(one.kind.zone, 0))
+            take = min(most, room_at(one, self.gang.size, start, start + self.span))
+            if take > 0:
+                result.append((one.index, take))
+                left -= take
+                if zones is not None:
+                    zones[one.kind.zone] -= take
+        return result, zones, left
+
+    def without_renting(self) -> Room | None:
+        """The earliest moment that is found on the machines at hand."""
+        shares, _, left = self.shares(self.now)
+        if left <= 0:
+            return self._room(self.now, shares)
+        moments = sorted({t for one in self.lanes for t in one.times if t > self.now})
+        step = max(1, -(-len(moments) // PROBED))
+        probes = [*range(0, len(moments), step)]
+        if moments and probes[-1] != len(moments) - 1:
+            probes.append(len(moments) - 1)
+        before, found = -1, None
+        for at in probes:
+            shares, _, left = self.shares(moments[at])
+            if left <= 0:
+                found = at, shares
+                break
+            before = at
+        if found is None:
+            return None
+        at, shares = found
+        for _ in range(REFINED):
+            middle = (before + at) // 2
+            if middle in (before, at):
+                break
+            tried, _, left = self.shares(moments[middle])
+            if left <= 0:
+                at, shares = middle, tried
+            else:
+                before = middle
+        return self._room(moments[at], shares)
+
+    def with_renting(self, offers: Sequence[OfferLike]) -> Room | None:
+        """All room at the moment when the slowest of some kinds is up, these rented as far as they
+        are needed, the first ones first."""
+        start = self.now + max(one.boot for one in offers)
+        shares, zones, left = self.shares(start)
+        rented: dict[Kind, tuple[int, int]] = {}
+        cost = 0.0
+        for one in offers:
+            each = one.capacity.times(self.gang.size)
+            most = left if zones is None else min(left, zones.get(one.kind.zone, 0))
+            number = min(one.most, -(-most // each)) if each else 0
+            if number <= 0:
+                continue
+            tasks = min(most, number * each)
+            rented[one.kind] = number, tasks
+            left -= tasks
+            if zones is not None:
+                zones[one.kind.zone] -= tasks
+            paid = -(-(start + self.span - self.now) // one.interval) * one.interval
+            cost += number * one.hourly * (paid / timedelta(hours=1))
+        return self._room(start, shares, rented, cost) if left <= 0 else None
+
+    def best(self, rent: bool) -> Room | None:
+        """The room of least overrun, then of least added cost, then the earliest."""
+        options = [self.without_renting()]
+        if rent and (options[0] is None or options[0].start > self.now):
+            by_price = sorted(self.offers, key=lambda one: one.hourly / max(one.capacity.cpus, 1))
+            options += [self.with_renting([one]) for one in by_price]
+            if not any(options) and by_price:
+                options.append(self.with_renting(by_price))
+        found = [one for one in options if one is not None]
+        return min(found, key=self._worth, default=None)
+
+    def _worth(self, room: Room) -> tuple[int, float, timedelta]:
+        return round(max(room.finish - self.gang.due, ZERO) / SLACK), room.cost, room.start
+
+    def _room(
+        self,
+        start: timedelta,
+        shares: list[tuple[int, int]],
+        rented: dict[Kind, tuple[int, int]] | None = None,
+        cost: float = 0.0,
+    ) -> Room:
+        finish = start + self.span
+        by_index = {one.index: one for one in self.lanes}
+        cost += sum(by_index[index].added_cost(finish, fresh=False) for index, _ in shares)
+        return Room(start, finish, shares, rented or {}, cost)
--- a/dappledrum/http/server.py
+++ b/dappledrum/http/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -13,12 +14,25 @@
 
 import httptools
 
+from dappledrum.http.seats import Role, most_workers, to_shed, to_shed_for_worker
+
 log = logging.getLogger(__name__)
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 REQUEST_TIME = timedelta(seconds=10)
-IDLE_TIME = timedelta(seconds=120)
+#: How long a connection may do nothing: one that has asked for nothing yet, a worker's (it reports
+#: every few seconds, or is gone), and any other.
+IDLE_TIMES = {
+    Role.NEW: timedelta(seconds=10),
+    Role.WORKER: timedelta(seconds=30),
+    Role.USER: timedelta(seconds=120),
+}
+LISTEN = 256  # connections that the system holds until they are accepted
+#: Accepted at a time, between two looks at what has arrived and ended: a process that had stood
+#: still once took hundreds at once on top of those that were over, unread, and had no socket left.
+ACCEPTED = 16
+WORKERS = "/hello"
 
 
 class Request(NamedTuple):
@@ -36,6 +50,7 @@
     body: bytes = b"{}"
     retry_after: int | None = None
     content_type: str = "application/json"
+    close: bool = False  # the connection ends with it
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -63,15 +78,19 @@
         self.handler = handler
         self.max_connections = max_connections
         self.connections: dict[Connection, None] = {}
+        self.workers = 0  # connections that workers hold
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Begin to listen; returns the port."""
         loop = asyncio.get_running_loop()
+        listening = socket.create_server((host, port), backlog=LISTEN)
+        listening.setblocking(False)
         self._server = await loop.create_server(
-            lambda: Connection(self), host, port, backlog=256, reuse_address=True
+            lambda: Connection(self), sock=listening, backlog=ACCEPTED
         )
+        listening.listen(LISTEN)  # asyncio takes one figure for both
         self._sweeper = loop.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -92,15 +111,37 @@
                 connection.expire()
 
     def admit(self, connection: "Connection") -> bool:
-        """Take a new connection; when full, the one idle for longest has to go."""
+        """Take a new connection; when full, another has to go, or this one."""
         if len(self.connections) >= self.max_connections:
-            idle = [c for c in self.connections if c.idle]
-            if not idle:
+            shed = to_shed(self.connections, asyncio.get_running_loop().time())
+            if shed is None:
                 return False
-            min(idle, key=lambda c: c.since).abort()
+            assert isinstance(shed, Connection)
+            shed.abort()
         self.connections[connection] = None
         return True
 
+    def seat_worker(self, connection: "Connection") -> bool:
+        """A connection turns out to be a worker's: they may take only so many."""
+        if connection.role is Role.WORKER:
+            return True
+        connection.role = Role.WORKER
+        self.workers += 1
+        if self.workers <= most_workers(self.max_connections):
+            return True
+        shed = to_shed_for_worker(self.connections)
+        if shed is None:
+            return False
+        assert isinstance(shed, Connection)
+        shed.abort()
+        return True
+
+    def leave(self, connection: "Connection") -> None:
+        """A connection is over."""
+        known = connection in self.connections
+        self.connections.pop(connection, None)
+        self.workers -= known and connection.role is Role.WORKER
+
 
 class Connection(asyncio.Protocol):
     """One client connection; requests come one after the other."""
@@ -109,6 +150,7 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
+        self.role = Role.NEW
         self.idle = True
         self.since = 0.0
         self.deadline = 0.0
@@ -127,7 +169,7 @@
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.connections.pop(self, None)
+        self.server.leave(self)
         self.transport = None
 
     def data_received(self, data: bytes) -> None:
@@ -176,6 +218,11 @@
             self.url.decode("latin-1"),
             bytes(self.body),
         )
+        if request.path != WORKERS:
+            self.role = Role.USER if self.role is Role.NEW else self.role
+        elif not self.server.seat_worker(self):
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         self.deadline = float("inf")
         self.task = asyncio.get_running_loop().create_task(
             self._answer(request, self.parser.should_keep_alive())
@@ -190,7 +237,7 @@
         self.task = None
         if self.transport is None:
             return
-        keep = keep and not self.upgrade
+        keep = keep and not self.upgrade and not response.close
         self.transport.write(encode(response, keep))
         if keep:
             self._rest()
@@ -211,7 +258,7 @@
     def _rest(self) -> None:
         self.idle = True
         self.since = asyncio.get_running_loop().time()
-        self.deadline = self.since + IDLE_TIME.total_seconds()
+        self.deadline = self.since + IDLE_TIMES[self.role].total_seconds()
 
     def expire(self) -> None:
         """Time is up: a half-sent request is told so, an idle connection is just closed."""
@@ -222,6 +269,6 @@
 
     def abort(self) -> None:
         """Drop the connection at once."""
-        self.server.connections.pop(self, None)
+        self.server.leave(self)
         if self.transport is not None:
             self.transport.abort()
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -71,7 +71,7 @@
     team = next((t for t in params.teams if t.name == spec.team), None)
     if team is None:
         return f"unknown team {spec.team}"
-    at_once = spec.tasks if spec.form is Form.SERVICE else 1
+    at_once = 1 if spec.form is Form.ARRAY else spec.tasks
     for amount, limit, name in (
         (spec.cpus, team.cpus_max, "cpus"),
         (spec.gpus, team.gpus_max, "gpus"),
@@ -103,6 +103,8 @@
         self.clock = clock
         self.ceiling = ceiling or Ceiling(params.state)
         self.types: list[MachineType] | None = None
+        # Versions before 0.4.0 can't read the record of a gang, and would lead nothing for it.
+        self.gangs = False
         self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
         self.admission = Admission(state, params.state.txn_ops)
         self.polls = Polls(
@@ -169,6 +171,8 @@
         why = unservable(spec, self.params, self.types)
         if why is None and spec.needs:
             why = await self.lookup.fault(spec.needs, spec.id)
+        if why is None and spec.form is Form.GANG and not self.gangs:
+            return busy(2)
         return None if why is None else refusal(HTTPStatus.UNPROCESSABLE_ENTITY, why)
 
     def _record(self, spec: Spec) -> list[Put]:
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -21,6 +21,7 @@
 
     ARRAY = "batch"
     SERVICE = "service"
+    GANG = "ensemble"  # known from version 0.4.0 on
 
 
 class Priority(StrEnum):
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -179,10 +179,19 @@
         rows = self.row_bound(now) * (len(self.places) + 1)
         return spec + FRAME + self.count // 4 + heads + sessions + zones + rows
 
-    def place(self, task: int, machine: str, session: int, zone: str, now: datetime) -> Placement:
-        """Count a task as on a machine, before its start may be sent."""
-        attempt = self.attempt
-        self.attempt += 1
+    def place(
+        self,
+        task: int,
+        machine: str,
+        session: int,
+        zone: str,
+        now: datetime,
+        attempt: int | None = None,
+    ) -> Placement:
+        """Count a task as on a machine, before its start may be sent; `attempt`: no less than the
+        next one of the page."""
+        attempt = self.attempt if attempt is None else attempt
+        self.attempt = attempt + 1
         self.starts = self.touch()
         placement = Placement(self, task, attempt, machine, session, zone, now)
         self.places[task] = placement
@@ -350,6 +359,10 @@
         """Number of tasks to be started."""
         return self.spec.tasks - self.done - self.on_machines()
 
+    def next_attempt(self) -> int:
+        """An attempt number that no task of the job has had."""
+        return max((page.attempt for page in self.pages.values()), default=1)
+
     def free_tasks(self) -> Iterator[Page]:
         """Pages that may hold tasks to be started, in order."""
         while self.full_pages < self.page_count - 1:
@@ -362,7 +375,7 @@
 
     def complete(self) -> bool:
         """Every task has completed; a service never does."""
-        return self.spec.form is Form.ARRAY and self.done >= self.spec.tasks
+        return self.spec.form is not Form.SERVICE and self.done >= self.spec.tasks
 
     def state(self) -> Outcome:
         """State as users see it."""
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -16,17 +16,20 @@
 from dappledrum.dispatch import Dispatcher, Tuning
 from dappledrum.fleet.cloud import Cloud
 from dappledrum.fleet.keeper import Keeper
-from dappledrum.fleet.memory import FleetMemory
-from dappledrum.fleet.messages import MachineType
+from dappledrum.fleet.memory import FLEET, FleetMemory
+from dappledrum.fleet.messages import FleetRecord, MachineType
 from dappledrum.jobs.messages import JobRecord, PageRecord, RowsRecord, SpecPart
 from dappledrum.jobs.record import Job, head_key, spec_key
 from dappledrum.jobs.recorder import Recorder
 from dappledrum.leadership.elector import Term
+from dappledrum.learning.memory import LearnedMemory
+from dappledrum.learning.messages import LearnedRecord
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
 from dappledrum.state.ceiling import Ceiling
 from dappledrum.state.client import CompactedError, State, StateError
+from dappledrum.state.hint import Hint
 from dappledrum.state.messages import Event
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.messages import Commands, Report
@@ -38,6 +41,7 @@
 PAGES = "page/"
 ROWS = "rows/"
 SPECS = "spec/"
+LEARNED = "learned"
 TIMER = timedelta(seconds=1)  # stalled boots and overruns wake nobody, so the clock does
 GATHER = timedelta(milliseconds=100)
 LOAD = 4  # a plan is followed by a pause of at least this many times its own duration
@@ -111,7 +115,16 @@
             self.wake,
             awake_since,
         )
-        self.memory = FleetMemory(state, term, self.roster, clock, params.state.value_bytes)
+        most = params.state.value_bytes
+        self.memory = FleetMemory(
+            Hint(state, term.guard(), FLEET, FleetRecord, most, Rank.RECORD), self.roster, clock
+        )
+        self.learned = LearnedMemory(
+            Hint(state, term.guard(), LEARNED, LearnedRecord, most, Rank.POLL),
+            self.estimates,
+            self.keeper.boots,
+            clock,
+        )
         self.set_types(types)
         self.dispatcher = Dispatcher(
             self.jobs,
@@ -151,6 +164,7 @@
             self._guard(self._sweep),
             self._guard(self._resolve),
             self._guard(self._remember),
+            self._guard(self._hand_on),
             self._guard(self._account),
             self._guard(self.keeper.rent_loop),
             self._guard(self.keeper.return_loop),
@@ -172,7 +186,7 @@
                 await loop()
                 return
             except StateError as error:
-                log.info("%s: state service not reached: %s", loop.__name__, error)
+                log.debug("%s: state service not reached: %s", loop.__name__, error)
                 await asyncio.sleep(0.1)
             except Exception:
                 log.exception("%s failed, going on", loop.__name__)
@@ -225,6 +239,7 @@
         for job in self.jobs.values():
             self.bookkeeper.restore(job)
         await self.memory.recall()
+        await self.learned.recall()
         for job in list(self.jobs.values()):
             self.graph.add(job)
             self.recorder.mark(job.page(0))
@@ -335,6 +350,10 @@
         await self.loaded.wait()
         await self.memory.run()
 
+    async def _hand_on(self) -> None:
+        await self.loaded.wait()
+        await self.learned.run()
+
     async def _account(self) -> None:
         """Book what is spent; what is not told yet is told when the term ends."""
         await self.loaded.wait()
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -74,9 +74,10 @@
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self.on_change: Callable[[], None] = lambda: None
+        self.stand_after = clock.now()  # what this process has promised
         # An earlier process of this member may have promised something that this one does not know
         # of.
-        self.stand_after = clock.now() + longer(PROMISE)
+        self.unknown_until = clock.now() + longer(PROMISE)
         self.avoid_until = ZERO
         self.tried_epoch: int | None = None
 
@@ -95,6 +96,16 @@
             return None
         return term if self.clock.now() < max(term.valid_until, term.promised_until) else None
 
+    def nobody_holds(self) -> None:
+        """Every other controller has told that it holds no term, asked after this process began.
+
+        A promise of an earlier process can only serve a term that has been held without a break
+        since before that, so none is left that rests on one, and there is nothing to wait for.
+        """
+        if self.unknown_until > self.clock.now():
+            log.info("nobody relies on a promise from before, standing at once")
+            self.unknown_until = self.clock.now()
+
     def resign(self, why: str, avoid: timedelta) -> None:
         """Give leadership up and don't stand again for a while."""
         self.avoid_until = self.clock.now() + avoid
@@ -108,7 +119,7 @@
             try:
                 await self._round()
             except StateError as error:
-                log.info("state service not reached for leadership: %s", error)
+                log.debug("state service not reached for leadership: %s", error)
                 await asyncio.sleep(self.rng.uniform(0.2, 0.5))
             except Exception:  # the loop must outlive whatever a service answers
                 log.exception("leadership loop failed, going on")
@@ -144,7 +155,7 @@
 
     async def _may_stand(self) -> bool:
         now = self.clock.now()
-        wait = max(self.stand_after, self.avoid_until) - now
+        wait = max(self.stand_after, self.unknown_until, self.avoid_until) - now
         if wait > ZERO:
             await asyncio.sleep(min(wait, timedelta(seconds=0.5)).total_seconds())
             return False
@@ -156,7 +167,7 @@
             msgspec.json.decode(entry.value, type=EpochRecord).epoch if entry is not None else 0
         )
         lease = await self.state.open_lease(self.life)
-        if self.stand_after > self.clock.now():
+        if max(self.stand_after, self.unknown_until) > self.clock.now():
             await self._drop(lease)  # a promise was given while we were reading
             return
         self.tried_epoch = epoch
@@ -217,7 +228,7 @@
             except LeaseLostError:
                 return
             except StateError as error:
-                log.info("renewal failed: %s", error)
+                log.debug("renewal failed: %s", error)
                 await self._ask(term)
                 pause = self.life / 12
             if self.holding() is None:
--- /dev/null
+++ b/dappledrum/learning/__init__.py
@@ -0,0 +1,1 @@
+"""What a leader has learned, handed on to the next one."""
--- /dev/null
+++ b/dappledrum/learning/messages.py
@@ -0,0 +1,36 @@
+"""Stored form of what was learned; unknown to versions before 0.4.0, which leave it alone."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Finite = Annotated[float, Meta(ge=-1e9, le=1e9)]
+Weight = Annotated[float, Meta(ge=0, le=1e9)]
+Label = Annotated[str, Meta(min_length=1, max_length=200)]
+
+
+class ClassRow(msgspec.Struct, array_like=True):
+    """A class's ratio of actual to expected run time: logarithms, as a running sample."""
+
+    job_class: Label
+    count: Weight
+    mean: Finite
+    square: Weight
+
+
+class BootRow(msgspec.Struct, array_like=True):
+    """A boot that was seen to its end."""
+
+    type: Label
+    zone: Label
+    spot: bool
+    took_s: Annotated[float, Meta(gt=0, le=1e6)]
+    up_at_ms: int
+
+
+class LearnedRecord(msgspec.Struct, omit_defaults=True):
+    """Value of the key `learned`: a hint, without which a leader begins with the priors."""
+
+    classes: list[ClassRow] = []
+    boots: list[BootRow] = []
--- a/dappledrum/model/dds.py
+++ b/dappledrum/model/dds.py
@@ -24,6 +24,7 @@
     image_at: float | None = None
     reserved: list[tuple[float, float, float]] = field(default_factory=list)  # start, finish, cpus
     fresh: bool = False
+    spot: bool = True
 
     def committed(self) -> float:
         """Until when the machine has something to do."""
@@ -85,10 +86,12 @@
     """Algorithm 1 for one bag: the placements, as machine and start.
 
     A task that would wait and be late is left out; one that has waited is expected to wait as long
-    again, unless the machine boots.
+    again, unless the machine boots. Room on spot machines that can be used now, and in time, goes
+    before all other.
     """
-    placed = []
-    for _ in range(count):
+    placed: list[tuple[str, float]] = []
+    cheap = True
+    while len(placed) < count:
         options = []
         for index, machine in enumerate(machines):
             room = machine.room(cpus, run)
@@ -98,12 +101,17 @@
             again = waited if machine.ready <= now else 0.0
             if room[0] > now and room[1] + again > due:
                 continue
+            if cheap and (not machine.spot or room[0] > now or room[1] > due):
+                continue
             if room[1] <= paid_until + 1e-9:
                 options.append(
                     (room[1], machine.hourly / machine.cpus, -machine.committed(), index, room[0])
                 )
-        if not options:
+        if not options and not cheap:
             break
+        if not options:
+            cheap = False
+            continue
         finish, _, _, index, start = min(options)
         machines[index].take(start, finish, cpus)
         placed.append((machines[index].name, start))
@@ -175,6 +183,7 @@
         machine.image_at,
         list(machine.reserved),
         machine.fresh,
+        machine.spot,
     )
 
 
--- a/dappledrum/model/rules.py
+++ b/dappledrum/model/rules.py
@@ -27,6 +27,8 @@
     running: dict[tuple[str, int], dict[str, tuple[str, str, bool]]] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
+    in_part: dict[str, float] = field(default_factory=dict)  # gangs in part on machines, since
+    part_s: float = 60.0  # how long one may be: a gang's wait, and a lease until a loss is proven
 
     def _break(self, rule: str, at: float, what: str) -> None:
         self.broken.append(f"{rule} at {at:.2f}: {what}")
@@ -165,8 +167,26 @@
         if (most_cpus and cpus > most_cpus + 1e-6) or (most_gpus and gpus > most_gpus + 1e-6):
             self._break("quota", at, f"{team} uses {cpus:g} CPUs and {gpus:g} GPUs")
 
+    def _gangs(self, at: float) -> None:
+        """A gang on machines in part holds room and does nothing."""
+        on: dict[str, int] = {}
+        for job, task in self.running:
+            if self.jobs[job].spec["form"] == "ensemble":
+                on[job] = on.get(job, 0) + (task not in self.jobs[job].done)
+        for job, count in on.items():
+            facts = self.jobs[job]
+            if 0 < count < facts.spec["beats"] - len(facts.done):
+                since = self.in_part.setdefault(job, at)
+                if at - since > self.part_s:
+                    self._break("held_apart", at, f"{job} with {count} tasks since {since:.1f}")
+            else:
+                self.in_part.pop(job, None)
+        for job in [job for job in self.in_part if job not in on]:
+            del self.in_part[job]
+
     def tick(self, at: float) -> None:
         """Time has passed."""
+        self._gangs(at)
         for job, task in self.running:
             since = self._cancelled_since(job)
             if since is not None and at > since + self.cancel_s:
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -23,8 +23,9 @@
 from dappledrum.leadership.messages import PromiseReply
 from dappledrum.patience import Pulse
 from dappledrum.peers.client import Peers
-from dappledrum.peers.messages import Knocks as KnocksQuestion
 from dappledrum.peers.messages import (
+    HoldingQuestion,
+    HoldingReply,
     KnocksReply,
     MalformedError,
     Promise,
@@ -37,6 +38,8 @@
     decode,
     encode,
 )
+from dappledrum.peers.messages import Knocks as KnocksQuestion
+from dappledrum.peers.versions import GANGS, at_least
 from dappledrum.settings import Settings
 from dappledrum.state.budget import Rank
 from dappledrum.state.ceiling import Ceiling
@@ -48,11 +51,13 @@
 log = logging.getLogger(__name__)
 
 CATALOG = "catalog"
+GANGS_KNOWN = "gangs"
 LEADER_SHARE = 0.6
 FOLLOWER_BURST = 2.0  # seconds
 RELAY_TIME = timedelta(milliseconds=900)
 KNOCK_TIME = timedelta(seconds=10)
 VERSION_PAUSE = timedelta(seconds=2)
+HOLDERS_TIME = timedelta(milliseconds=200)
 AVOID = timedelta(seconds=20)
 LIFE_MOST = timedelta(seconds=3)
 
@@ -100,6 +105,7 @@
             self._learn_types(),
             self._hear_workers(),
             self._learn_versions(),
+            self._learn_holders(),
         )
 
     def _set_share(self) -> None:
@@ -213,18 +219,50 @@
 
     async def _learn_versions(self) -> None:
         """Once every other controller tells its version, none is left that can't read records in
-        parts; those before 0.3.0 do not tell, and whoever was upgraded stays so."""
+        parts; those before 0.3.0 do not tell, and whoever was upgraded stays so. Gangs are taken
+        once all run a version that knows them; that this was so is stored, as a controller may be
+        down for long."""
         told: dict[str, str] = {}
-        while len(told) < len(self.peers.callers):
+        while True:
             for member in self.peers.callers:
-                if member in told:
+                if at_least(told.get(member, ""), GANGS):
                     continue
                 version = await self.peers.version(member, RELAY_TIME)
-                if version is not None:
+                if version is not None and version != told.get(member):
                     told[member] = version
                     log.info("%s runs version %.40s", member, version)
+            if len(told) == len(self.peers.callers):
+                self.ceiling.settle("all controllers read them")
+            if all(at_least(told.get(member, ""), GANGS) for member in self.peers.callers):
+                self.intake.gangs = True
+            if await self._gangs_known():
+                return
             await asyncio.sleep(VERSION_PAUSE.total_seconds())
-        self.ceiling.settle("all controllers read them")
+
+    async def _gangs_known(self) -> bool:
+        """Whether it is stored that all controllers know gangs, now or from before."""
+        try:
+            entry = await self.state.get(GANGS_KNOWN, Rank.RECORD)
+            if entry is None and self.intake.gangs:
+                value = raw({"version": __version__})
+                await self.state.commit(
+                    [Guard(GANGS_KNOWN, 0)], [Put(GANGS_KNOWN, value)], Rank.RECORD
+                )
+            self.intake.gangs = self.intake.gangs or entry is not None
+            # An older peer may yet be upgraded, which settles how records are written.
+            return self.intake.gangs and self.ceiling.settled
+        except StateError as error:
+            log.debug("not known whether all know gangs: %s", error)
+            return False
+
+    async def _learn_holders(self) -> None:
+        """After a restart, ask whether anybody may still rely on what the process before has
+        promised: the wait for it to lapse is most of what a restart of all costs."""
+        while self.elector.unknown_until > self.clock.now():
+            if self.peers.callers and await self.peers.nobody_holds(HOLDERS_TIME):
+                self.elector.nobody_holds()
+                return
+            await asyncio.sleep(HOLDERS_TIME.total_seconds())
 
     # users and workers
 
@@ -256,7 +294,12 @@
     async def _ready(self, _request: Request) -> Response:
         """Ready once the state service was reached; an outage later on changes nothing, flapping
         is worse."""
-        return Response(HTTPStatus.OK if self.state.reached else HTTPStatus.SERVICE_UNAVAILABLE)
+        if self.state.reached:
+            return Response(HTTPStatus.OK)
+        why = self.state.trouble.why or "no answer yet"
+        return refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE, f"the state service was not reached yet: {why}"
+        )
 
     async def _for_user(self, request: Request) -> Response:
         """Serve a user here, or through a peer while the state service does not serve this
@@ -314,7 +357,9 @@
         known = self.elector.leader
         if known is not None and known.member != self.settings.member:
             return Response(
-                HTTPStatus.MISDIRECTED_REQUEST, msgspec.json.encode(Redirect(known.member))
+                HTTPStatus.MISDIRECTED_REQUEST,
+                msgspec.json.encode(Redirect(known.member)),
+                close=True,  # the worker goes elsewhere, so its place is free
             )
         return busy()
 
@@ -339,6 +384,8 @@
                 return RelayReply(HTTPStatus.SERVICE_UNAVAILABLE, b"{}", 1)
             response = await self._locally(Request(question.method, question.path, question.body))
             return RelayReply(response.status, response.body, response.retry_after)
+        if isinstance(question, HoldingQuestion):
+            return HoldingReply(self.elector.holding() is not None)
         if isinstance(question, VersionQuestion):
             return VersionReply(__version__)
         if isinstance(question, KnocksQuestion):
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -8,6 +8,8 @@
 from dappledrum.http.client import Caller, NoResponseError
 from dappledrum.leadership.messages import PromiseReply, PromiseRequest
 from dappledrum.peers.messages import (
+    HoldingQuestion,
+    HoldingReply,
     Knocks,
     KnocksReply,
     MalformedError,
@@ -29,6 +31,7 @@
 
     def __init__(self, callers: dict[str, Caller]) -> None:
         self.callers = callers
+        self.refusals: dict[str, str] = {}  # why each refused its newest promise, once said
 
     async def _ask(self, member: str, question: Question, kind: type, timeout: timedelta) -> Any:  # noqa: ANN401
         try:
@@ -48,12 +51,10 @@
         ]
         replies = await asyncio.gather(*asked)
         for member, reply in zip(self.callers, replies, strict=True):
-            if reply is None or not reply.granted:
-                log.info(
-                    "no promise from %s: %s",
-                    member,
-                    "no answer" if reply is None else reply.reason,
-                )
+            why = "no answer" if reply is None else "" if reply.granted else reply.reason
+            if why and self.refusals.get(member) != why:
+                log.info("no promise from %s: %s", member, why)
+            self.refusals[member] = why
         return all(reply is not None and reply.granted for reply in replies)
 
     async def knocks(self, within: timedelta, timeout: timedelta) -> dict[str, int]:
@@ -69,6 +70,11 @@
                 result[name] = max(result.get(name, 0), count)
         return result
 
+    async def nobody_holds(self, timeout: timedelta) -> bool:
+        """Whether every other controller tells that it holds no term."""
+        asked = [self._ask(m, HoldingQuestion(), HoldingReply, timeout) for m in self.callers]
+        return all(reply is not None and not reply.holds for reply in await asyncio.gather(*asked))
+
     async def version(self, member: str, timeout: timedelta) -> str | None:
         """The version that a peer runs, if it tells."""
         reply = await self._ask(member, VersionQuestion(), VersionReply, timeout)
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -55,8 +55,19 @@
     version: str
 
 
-Question = Relay | Knocks | Promise | VersionQuestion
-Reply = RelayReply | KnocksReply | PromiseReply | VersionReply
+class HoldingQuestion(msgspec.Struct, tag="holding", tag_field="kind"):
+    """Asked by a controller that has just begun: whether somebody may rely on a promise of the
+    process before it; versions before 0.4.0 refuse it."""
+
+
+class HoldingReply(msgspec.Struct):
+    """Whether the controller holds a term, be it by its lease or by promises."""
+
+    holds: bool
+
+
+Question = Relay | Knocks | Promise | VersionQuestion | HoldingQuestion
+Reply = RelayReply | KnocksReply | PromiseReply | VersionReply | HoldingReply
 
 
 class MalformedError(Exception):
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -12,11 +12,13 @@
 from heapq import heapify, heappop, heappush, heapreplace
 
 from dappledrum.clock import ZERO
+from dappledrum.gangs.together import Gang, Search
 from dappledrum.scheduling.lanes import Gap, Kind, Lanes, Size, fetch_time
 from dappledrum.scheduling.rooms import Rooms, Row
 
 # tasks of one bag that one plan spreads over rented machines; the others wait for the next wake
 TRIED = 160
+GANGS_SOUGHT = 4  # gangs for which one plan looks beyond the room of the moment
 SLACK = timedelta(milliseconds=500)  # overruns that differ by less are taken for equal
 
 #: Order of machines in Algorithm 2; the last item is unique, so nothing behind it is compared.
@@ -50,6 +52,7 @@
     beside: int = 0  # ready tasks of the other jobs of its stage
     thrifty: bool = False  # too late anyway: only the cheaper kind of machine is rented for it
     idle: bool = False  # nobody expects it by any time, so it is never late
+    gang: bool = False  # its tasks run together or not at all
 
 
 @dataclass
@@ -120,6 +123,7 @@
         self.team_room = team_room
         self.plan = Plan()
         self.fresh = 0
+        self.sought = 0  # gangs looked at closely
         self.examined = 0  # machines looked at closely: what a plan costs
 
     def run(self, bags: Sequence[Bag]) -> Plan:
@@ -139,6 +143,10 @@
                 bag, count
             )  # also for what only waits: nobody else may count on it
             zones = self._zones(bag, count)
+            if bag.gang:
+                self._gather(bag, count)
+                yield
+                continue
             # Room that is paid for costs nothing more on paper; by the second, what an ordinary
             # machine does not do lets it go back. So spot room goes first while it is in time.
             placed = self._fill(bag, count, zones, cheap=True)
@@ -152,6 +160,42 @@
             self._rent(bag, count)
             yield
 
+    def _gather(self, bag: Bag, count: int) -> None:
+        """Place a gang whole, or keep room for all of it at one later moment, or nothing."""
+        if count < bag.ready:
+            return  # the team's room grows until it suffices, as it counts as taken
+        gang = Gang(
+            *(bag.size, count, bag.run, bag.due, bag.image, bag.image_gb, bag.allowed),
+            bag.zone_room,
+        )
+        search = Search(gang, self.lanes, self.offers, self.now)
+        self.sought += 1
+        if self.sought > GANGS_SOUGHT:
+            shares, _, left = search.shares(self.now)
+            room = None if left else search.best(rent=False)
+        else:
+            room = search.best(rent=not bag.held)
+        if room is None or room.finish > bag.due:
+            self.plan.late[bag.id] = count
+        if room is None:
+            return
+        for index, number in room.shares:
+            lanes = self.lanes[index]
+            self._commit(bag, lanes, Gap(room.start, number, room.finish), number)
+        for kind, (number, tasks) in room.rented.items():
+            offer = next(o for o in self.offers if o.kind == kind)
+            offer.most -= number
+            self.plan.rentals[kind] = self.plan.rentals.get(kind, 0) + number
+            each = offer.capacity.times(bag.size)
+            for _ in range(number):
+                lanes = self._blank(offer)
+                lanes.machine = f"+{self.fresh}"
+                self.fresh += 1
+                self.rooms.add(lanes)
+                part = min(each, tasks)
+                tasks -= part
+                self._use(bag, lanes, Gap(room.start, part, room.finish), part)
+
     def _passes(self, bag: Bag) -> bool:
         """The delay rule: rent once enough of the stage is ready, or all that is left of it."""
         ready = bag.ready + bag.beside
--- a/dappledrum/scheduling/preempt.py
+++ b/dappledrum/scheduling/preempt.py
@@ -28,11 +28,12 @@
     victims: Sequence[Victim]
 
 
-def choose(need: Size, count: int, hosts: Sequence[Host]) -> list[Hashable]:
+def choose(need: Size, count: int, hosts: Sequence[Host], whole: bool = False) -> list[Hashable]:
     """Victims that make room for so many tasks, each time on the machine where least work is
     wasted.
 
     What is stopped for one task and leaves more room than needed serves the next ones, too.
+    `whole`: for all of them, or nothing is stopped.
     """
     result: list[Hashable] = []
     state = {host.name: (host.free, sorted(host.victims, key=lambda v: v.lost)) for host in hosts}
@@ -47,6 +48,8 @@
             if free.times(need) >= 1 and (best is None or (cost, taken) < best[:2]):
                 best = (cost, taken, name)
         if best is None:
+            if whole:
+                return []
             break
         _, taken, name = best
         free, victims = state[name]
--- a/dappledrum/scheduling/test_plan.py
+++ b/dappledrum/scheduling/test_plan.py
@@ -37,6 +37,7 @@
     st.integers(5, 300),  # due
     st.sampled_from([0, 20, 100]),  # waited
 )
+SPOT = {"p": True, "q": False}
 SHAPES = {"p": (4.0, 0.4, 20), "q": (8.0, 1.0, 35)}  # CPUs, hourly, boot
 
 
@@ -46,11 +47,12 @@
         cpus, hourly, _ = SHAPES[kind]
         at = NOW + ready
         machine = PlainMachine(
-            f"m{index}", kind, cpus, at, NOW - age, hourly, 10.0, at if image else None
+            *(f"m{index}", kind, cpus, at, NOW - age, hourly, 10.0, at if image else None),
+            spot=SPOT[kind],
         )
         lanes = Lanes(
             f"m{index}",
-            Kind(kind, "z", True),
+            Kind(kind, "z", SPOT[kind]),
             Size(cpus, 0, 100),
             seconds(at),
             seconds(NOW - age),
@@ -94,7 +96,7 @@
     ]
     offers = [
         Offer(
-            Kind(kind, "z", True),
+            Kind(kind, "z", SPOT[kind]),
             Size(cpus, 0, 100),
             hourly,
             seconds(boot),
--- a/dappledrum/standins/fleet.py
+++ b/dappledrum/standins/fleet.py
@@ -48,6 +48,10 @@
     report_s: float
     lease_s: float
     faulty: set[str] = field(default_factory=set)  # machines on which every task fails
+    gang_wait_s: float = 30.0
+    gang_peer_s: float = 6.0
+    # Members of each gang that have their image and are on some machine, wherever it is.
+    gangs: dict[str, dict[int, "Attempt"]] = field(default_factory=dict)
 
 
 class Worker:
@@ -107,7 +111,10 @@
         if attempt.runner is not None:
             attempt.runner.cancel()
             attempt.runner = None
-        if attempt.state in ("running", "flushing"):
+        members = self.timing.gangs.get(attempt.job, {})
+        if members.get(attempt.number) is attempt:
+            del members[attempt.number]
+        if attempt.state in ("gathering", "running", "flushing"):
             self.rules.ended(self.name, attempt.job, attempt.number, completed)
 
     async def _lease_loop(self) -> None:
@@ -221,8 +228,20 @@
         if spec["skin"] not in self.images:
             await asyncio.sleep(spec["pullGb"] / 1.0)
             self.images.add(spec["skin"])
-        attempt.state = "running"
         self.rules.started(self.now(), self.name, self.kind, attempt.job, attempt.number)
+        gang = spec["form"] == "ensemble" and attempt.name not in self.done
+        if gang:
+            attempt.state = "gathering"
+            self.changed.set()
+            self.timing.gangs.setdefault(attempt.job, {})[attempt.number] = attempt
+            waited = 0.0
+            while not self._gathered(attempt.job):
+                await asyncio.sleep(0.1)
+                waited += 0.1
+                if waited > self.timing.gang_wait_s:
+                    self._exit(attempt, "alone")
+                    return
+        attempt.state = "running"
         self.changed.set()
         if self.name in self.timing.faulty or spec.get("broken"):
             await asyncio.sleep(1)
@@ -232,10 +251,25 @@
             cause = "done"
         else:
             left = 0.0 if attempt.name in self.done else spec["runS"]
+            missing = 0.0
             while left > 0:
                 await asyncio.sleep(min(left, 0.5))
                 left -= 0.0 if self.hung else 0.5
+                missing = missing + 0.5 if gang and not self._gathered(attempt.job) else 0.0
+                if missing > self.timing.gang_peer_s:
+                    self._exit(attempt, "peers")
+                    return
             cause = "done"
+        self._exit(attempt, cause)
+
+    def _gathered(self, job: str) -> bool:
+        """Every member of a gang is on a machine, or has completed."""
+        members = self.timing.gangs.get(job, {})
+        here = set(members) | self.rules.jobs[job].done
+        same = len({attempt.take for attempt in members.values()}) <= 1
+        return same and len(here) >= self.rules.jobs[job].spec["beats"]
+
+    def _exit(self, attempt: Attempt, cause: str) -> None:
         attempt.runner = None
         self._leave(attempt, completed=cause == "done")
         if cause == "done":
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -100,6 +100,8 @@
         """As that version would have written it."""
         if path == "/multi" and body is not None:
             transaction = json.loads(body)
+            if any(guard["key"] == "gangs" for guard in transaction.get("guards", ())):
+                return Reply(409, b'{"failed":["gangs"],"tally":1}')  # it knows nothing of them
             for change in transaction.get("then", ()):
                 self._age(change.get("write", ""), change.get("value"))
             body = json.dumps(transaction, separators=(",", ":")).encode()
@@ -208,7 +210,7 @@
             return node.serve_peer
 
         async def refuse(request: Request) -> Response:
-            if b"version" in request.body:
+            if b"version" in request.body or b"holding" in request.body:
                 return Response(400)
             return await node.serve_peer(request)
 
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -32,6 +32,7 @@
     TimeToLive,
     Transaction,
 )
+from dappledrum.troubles import Trouble
 
 log = logging.getLogger(__name__)
 
@@ -91,6 +92,7 @@
         self.failing_since: timedelta | None = None
         self.last_hung = False
         self.reached = False  # served at least once
+        self.trouble = Trouble(log, clock, "the state service does not serve this controller")
 
     def troubled(self) -> bool:
         """Requests have failed for a while, and none was served since."""
@@ -140,15 +142,15 @@
         try:
             reply = await self.caller.request(method, path, body, timeout)
         except NotSentError as error:
-            self._failed(hung=False)
+            self._failed(False, str(error))
             raise RefusedError(str(error)) from error
         except NoResponseError as error:
-            self._failed(hung=True)
+            self._failed(True, str(error))
             raise UnknownError(str(error)) from error
         if reply.status in (429, 503):
             self._back_off(reply.status)
             if reply.status == 503:
-                self._failed(hung=False)
+                self._failed(False, "status 503")
             raise RefusedError(f"status {reply.status}")
         if reply.status >= 500:
             raise UnknownError(f"status {reply.status}")
@@ -158,10 +160,12 @@
             self.backoff = ZERO
             self.failing_since = None
             self.reached = True
+            self.trouble.over()
         return reply
 
-    def _failed(self, hung: bool) -> None:
+    def _failed(self, hung: bool, why: str) -> None:
         self.last_hung = hung
+        self.trouble.seen(why)
         if self.failing_since is None:
             self.failing_since = self.clock.now()
 
--- /dev/null
+++ b/dappledrum/state/hint.py
@@ -0,0 +1,52 @@
+"""Records that only help a successor: nothing rests on them, and they are not worth a retry."""
+
+import logging
+from typing import Generic, TypeVar
+
+import msgspec
+
+from dappledrum.state.budget import Rank
+from dappledrum.state.client import State, StateError, raw
+from dappledrum.state.messages import Guard, Put
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+class Hint(Generic[T]):
+    """One key, written by the leader under its guard when the value has changed."""
+
+    def __init__(
+        self, state: State, guard: Guard, key: str, kind: type[T], value_bytes: int, rank: Rank
+    ) -> None:
+        self.state = state
+        self.guard = guard
+        self.key = key
+        self.kind = kind
+        self.value_bytes = value_bytes
+        self.rank = rank
+        self.stored: T | None = None
+
+    async def keep(self, record: T) -> None:
+        """Write the record if it is not the one that is stored, as far as that is known."""
+        if record == self.stored:
+            return
+        value = raw(record)
+        if len(bytes(value)) > self.value_bytes:
+            log.warning("%s is too large to be kept", self.key)
+            return
+        try:
+            await self.state.commit([self.guard], [Put(self.key, value)], self.rank)
+            self.stored = record
+        except StateError as error:
+            log.debug("%s not written: %s", self.key, error)
+
+    async def recall(self) -> T | None:
+        """What a predecessor has left; None when there is nothing, or nothing usable."""
+        try:
+            entry = await self.state.get(self.key, Rank.RECORD)
+            return None if entry is None else msgspec.json.decode(entry.value, type=self.kind)
+        except (StateError, msgspec.DecodeError, UnicodeDecodeError) as error:
+            log.info("%s not read: %s", self.key, error)
+            return None
--- a/dappledrum/test_freeze.py
+++ b/dappledrum/test_freeze.py
@@ -90,7 +90,7 @@
         world = World(seed=37)
         await world.until(lambda: world.leader() is not None)
         for number in range(3):
-            await world.submit(job(number, runS=30.0, expectedS=30.0))
+            await world.submit(job(number, runS=30.0, expectedS=30.0, dueS=55.0))
         await world.until(lambda: len(world.rules.running) == 12)
         machines, rented = set(world.cloud.machines), world.cloud.next
         for _ in range(3):
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -20,6 +20,7 @@
 from dappledrum.accounts.entries import Entry
 from dappledrum.accounts.ledger import Ledger
 from dappledrum.clock import ZERO, Clock
+from dappledrum.gangs.whole import keep_whole
 from dappledrum.jobs.messages import Form
 from dappledrum.jobs.record import Job, Page, Placement
 from dappledrum.scheduling.estimates import Estimates
@@ -106,7 +107,7 @@
         now and not when the loss is proven; what keeps its progress, when it must save."""
         for placement in machine.placements.values():
             job = placement.page.job
-            if placement.lost or job.cancelled or job.spec.form is not Form.ARRAY:
+            if placement.lost or job.cancelled or job.spec.form is Form.SERVICE:
                 continue
             if job.spec.checkpoint_s > 0:
                 doomed = left <= job.spec.save * 1.5 + self.limits.report * 2
@@ -160,6 +161,7 @@
             self._ended(machine, job, page, task, placement, item, now)
         elif placement is not None:
             placement.seen = True
+            placement.gathering = item.state == TaskState.WAITING
             if item.state == TaskState.RUNNING and placement.running_at is None:
                 placement.running_at = now
                 cache = (
@@ -189,7 +191,7 @@
         elif placement is not None and item.cause in (Cause.FULL, Cause.BUSY):
             log.warning("%s refused %s: %s", machine.name, item.task, item.cause)
             machine.blocked_until = now + RETRY
-        elif placement is not None and item.cause == Cause.UNKNOWN:
+        elif placement is not None and item.cause in (Cause.UNKNOWN, Cause.PEERS, Cause.ALONE):
             job.retry_at = now + RETRY
         if placement is not None:
             self.ledger.settle(placement, self._worth(job, item))
@@ -336,8 +338,10 @@
     # time
 
     def sweep(self) -> None:
-        """Give up what was on machines whose workers have certainly ended their session."""
+        """Give up what was on machines whose workers have certainly ended their session, and what
+        is left of gangs that have lost a part."""
         now = self.clock.now()
+        keep_whole(self.jobs.values())
         for machine in self.roster:
             if machine.placements and machine.expired(now, self.limits.lease):
                 for placement in list(machine.placements.values()):
--- a/dappledrum/workers/messages.py
+++ b/dappledrum/workers/messages.py
@@ -31,6 +31,8 @@
     FULL = "full"
     BUSY = "busy"
     UNKNOWN = "unknown"
+    PEERS = "peers"  # of a gang: another member was lost
+    ALONE = "alone"  # of a gang: the others did not come in time
 
 
 class TaskReport(
