--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -134,10 +134,11 @@
                 self._preempt(self.jobs[bag.id], bag, plan.late[bag.id], now)
         self.calm = not plan.late and not plan.rentals
         self._release_from_idle(plan, now)
-        if self.keeper.listed:
+        introduced = self.keeper.introduced()
+        if introduced:
             self._cheapen(plan, lanes)
-        # Before the first list nobody knows what a predecessor has rented.
-        self.keeper.order(plan.rentals if self.keeper.listed else {}, plan.needed, now)
+        # Before that nobody knows what a predecessor has rented.
+        self.keeper.order(plan.rentals if introduced else {}, plan.needed, now)
         return plan
 
     def _in_order(self) -> list[Job]:
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -374,7 +374,11 @@
     async def _sweep(self) -> None:
         await self.loaded.wait()
         while True:
-            self.bookkeeper.sweep()
+            # One that has stood still past its term does not know what others have answered since:
+            # it once took hundreds of tasks for lost, and said so, though it could store none of
+            # it.
+            if self.leading():
+                self.bookkeeper.sweep()
             self.recorder.shrink(self.jobs.values())
             await asyncio.sleep(0.5)
 
