--- a/dappledrum/standins/time.py
+++ b/dappledrum/standins/time.py
@@ -117,5 +117,17 @@
 
 def run(main: Coroutine[Any, Any, Any]) -> Any:  # noqa: ANN401 - whatever the coroutine returns
     """Run a coroutine in virtual time."""
+
+    async def whole() -> Any:  # noqa: ANN401
+        try:
+            return await main
+        finally:
+            # A test that fails while a process stands still would never end: nothing of that
+            # process can be cancelled.
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop)
+            for process in list(loop.frozen):
+                loop.thaw(process)
+
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main)
+        return runner.run(whole())
