--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -134,11 +134,10 @@
                 self._preempt(self.jobs[bag.id], bag, plan.late[bag.id], now)
         self.calm = not plan.late and not plan.rentals
         self._release_from_idle(plan, now)
-        introduced = self.keeper.introduced()
-        if introduced:
+        if self.keeper.listed:
             self._cheapen(plan, lanes)
-        # Before that nobody knows what a predecessor has rented.
-        self.keeper.order(plan.rentals if introduced else {}, plan.needed, now)
+        # Before the first list nobody knows what a predecessor has rented.
+        self.keeper.order(plan.rentals if self.keeper.listed else {}, plan.needed, now)
         return plan
 
     def _in_order(self) -> list[Job]:
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -26,8 +26,6 @@
 SLOW = 2.0  # times the catalog's figure, from which on slow boots are worth a line
 SLOW_NO_MORE = 1.5
 INTRODUCED = timedelta(seconds=20)  # beyond a lease: machines report to a new leader by then
-TURNING = timedelta(seconds=5)  # a worker gives an answer 4 s, and tries the next controller then
-TURNED = 0.8  # share of the machines that were up, heard of which a new leader knows its fleet
 
 
 class Keeper:
@@ -68,7 +66,6 @@
         self.settled: dict[Kind, timedelta] = {}  # when the newest request for a kind was answered
         self.counter = 0
         self.listed = False
-        self.began = clock.now()
         self.planned = False
         self.asked = asyncio.Event()
         self.no_list = Trouble(log, clock, "the cloud gives no machine list")
@@ -97,23 +94,8 @@
         now = self.clock.now()
         if machine.kind is None:
             return now + self.base_interval
-        if machine.was_up and now - machine.seen_at < self.params.workers.lease:
-            return now + TURNING  # not a boot of minutes, but a worker that turns to this leader
         return now + self.boots.left(machine.kind, machine.rented_at, now)
 
-    def introduced(self) -> bool:
-        """Whether the fleet that a predecessor has left is known: listed, and mostly heard of.
-
-        Before that most machines look as if they had yet to boot, and a new leader once rented
-        hundreds beside them, just as the workers turned to it.
-        """
-        if not self.listed:
-            return False
-        if self.clock.now() - self.began > TURNING + self.params.workers.report * 2:
-            return True
-        before = [m for m in self.roster if m.was_up]
-        return sum(m.up for m in before) >= TURNED * len(before)
-
     def overdue(self, machine: Machine) -> bool:
         """A new machine is expected to be up sooner than this one, which may never come up."""
         now = self.clock.now()
@@ -329,7 +311,6 @@
                 machine.kind = Kind(item.type, item.zone, item.spot)
             machine.listed_at = now
             machine.failed |= item.state == "failed"
-            machine.was_up |= item.state == "running"
         if not self.listed:
             self.listed = True
             self.wake("first list")
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -365,7 +365,6 @@
         for placement in job.placements():
             machine = self.roster.ensure(placement.machine, None, now)
             machine.last_answer = now
-            machine.was_up = True
             machine.placements[(job.id, placement.task)] = placement
             age = self.clock.today() - placement.placed_at
             placement.running_at = now - max(age, ZERO)
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -25,7 +25,6 @@
         self.seen_at = now  # first time that this leader heard of it
         self.asked_at: timedelta | None = None  # by this leader, until its boot is evaluated
         self.up_at: timedelta | None = None
-        self.was_up = False  # by the list, or since a predecessor has placed something there
         self.session = 0
         self.sequence = -1
         self.token = 0
