--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -547,84 +547,54 @@
         that room. In calm times spot machines are rented beside them, too. Without spare room,
         and with anything late, all machines are used.
         """
-        stands_in = self._stands_in({view.kind for view in lanes if not view.kind.spot})
-        spare = {kind: self._spare(lanes, kinds) for kind, kinds in stands_in.items()}
-        for machine in self.roster:
-            if machine.retiring and machine.kind is not None:
-                self._take_spare(spare, self._used(machine))
-        for machine in self.roster:
-            if machine.retiring and plan.late and spare.get(machine.kind, 0.0) <= 0:
+        retiring = [machine for machine in self.roster if machine.retiring]
+        spare = self._spare(lanes) - sum(self._used(machine) for machine in retiring)
+        bound = any(not job.spec.spot for job in self.jobs.values())
+        if bound or (plan.late and spare <= 0):
+            for machine in retiring:
                 machine.retiring = False
+            return
         ordinary = [
             (view, machine)
             for view in lanes
-            if stands_in.get(view.kind)
+            if not view.kind.spot
             and not view.booting
             and (machine := self.roster.get(view.machine)) is not None
+            and self._has_spot(view.kind)
             and all(p.page.job.spec.form is not Form.SERVICE for p in machine.placements.values())
         ]
         ordinary.sort(key=lambda pair: (-pair[0].hourly_cpu, len(pair[1].placements)))
         left = 0.0
-        for view, machine in ordinary:
+        for _, machine in ordinary:
             used = self._used(machine)
-            if used < spare[view.kind]:
+            if used < spare:
                 log.info("%s gets no new work: spot machines have room for it", machine.name)
                 machine.retiring = True
-                self._take_spare(spare, used)
+                spare -= used
             else:
-                left += max(used, 1.0)  # idle at this moment, and never long enough to go back
+                left += used
         # What would go back is worth more as room for what ordinary machines still do.
         self.keeper.keep_spot = bool(ordinary)
         if left > 0 and not plan.late and not plan.rentals:
-            room = max(0.0, *(spare[view.kind] for view, _ in ordinary))
-            kinds = frozenset.intersection(*(stands_in[view.kind] for view, _ in ordinary))
-            plan.rentals.update(self._swap(left - room, kinds, lanes))
-
-    @staticmethod
-    def _take_spare(spare: dict[Kind, float], cpus: float) -> None:
-        for kind in spare:
-            spare[kind] -= cpus
-
-    def _stands_in(self, ordinary: set[Kind]) -> dict[Kind, frozenset[Kind]]:
-        """For each kind of ordinary machines the cheaper spot kinds on which every live job may
-        run that may run there, at this size, in this zone: a task that fits nowhere else must not
-        lose its machine for room that it can't use."""
-        alike: dict[Hashable, Callable[[Kind], bool]] = {}
-        for job in self.jobs.values():
-            spec = job.spec
-            types = None if spec.types is None else tuple(spec.types)
-            size = (spec.cpus, spec.gpus, spec.memory_gb)
-            likeness = (size, types, spec.zone, spec.spot, spec.one_zone, spec.spread)
-            if not job.over and likeness not in alike:
-                zones = {p.zone for p in job.placements()} if spec.one_zone else set()
-                alike[likeness] = self._allowed(job, zones)
-        spot = [
-            Kind(model.name, zone, True)
-            for model in self.keeper.types.values()
-            for zone in model.zones
-            if model.spot_price is not None and model.spot_price < model.price and model.cpus > 0
-        ]
-        return {
-            kind: frozenset(
-                one for one in spot if all(may(one) for may in alike.values() if may(kind))
-            )
-            for kind in ordinary
-        }
+            plan.rentals.update(self._swap(left - spare, lanes))
 
-    def _swap(self, cpus: float, kinds: frozenset[Kind], lanes: list[Lanes]) -> dict[Kind, int]:
-        """Spot machines to rent for work that now runs on ordinary ones, the cheapest first, a
-        tenth of the fleet at a time."""
+    def _swap(self, cpus: float, lanes: list[Lanes]) -> dict[Kind, int]:
+        """Spot machines to rent for work that now runs on ordinary ones: the cheapest on which all
+        that is live fits, a tenth of the fleet at a time."""
         coming = sum(view.capacity for view in lanes if view.booting and view.kind.spot)
         cpus = min(cpus, SWAPPED * sum(view.capacity for view in lanes)) - coming
         result: dict[Kind, int] = {}
-        models = self.keeper.types
-        for kind in sorted(
-            kinds, key=lambda one: (models[one.type].hourly(True) / models[one.type].cpus, one)
-        ):
-            count = min(math.ceil(cpus / models[kind.type].cpus), RENT_MOST)
-            if count > 0 and self.keeper.offered(kind):
-                result[kind] = count
-                cpus -= count * models[kind.type].cpus
+        models = [m for m in self.keeper.types.values() if m.spot_price is not None and m.cpus > 0]
+        for model in sorted(models, key=lambda m: m.hourly(True) / m.cpus):
+            whole = Size(model.cpus, model.gpus, model.memory_gb)
+            if any(whole.times(size) < 1 for size in self.sizes):
+                continue
+            for zone in model.zones:
+                kind = Kind(model.name, zone, True)
+                count = min(math.ceil(cpus / model.cpus), RENT_MOST)
+                if count > 0 and self._has_spot(kind) and self.keeper.offered(kind):
+                    result[kind] = count
+                    cpus -= count * model.cpus
         return result
 
     @staticmethod
@@ -632,10 +602,17 @@
         """CPUs that tasks hold on a machine."""
         return sum(p.page.job.spec.cpus for p in machine.placements.values())
 
-    def _spare(self, lanes: list[Lanes], kinds: frozenset[Kind]) -> float:
-        """CPUs on spot machines of these kinds that are up and that the plan has no use for, in
-        room for the largest tasks, less a share that stays free."""
-        spot = [view for view in lanes if view.kind in kinds and not view.booting]
+    def _has_spot(self, kind: Kind) -> bool:
+        """Whether a machine of the type would cost less as a spot machine."""
+        model = self.keeper.types.get(kind.type)
+        return (
+            model is not None and model.spot_price is not None and model.spot_price < model.price
+        )
+
+    def _spare(self, lanes: list[Lanes]) -> float:
+        """CPUs on spot machines that are up and that the plan has no use for, in room for the
+        largest tasks, less a share that stays free."""
+        spot = [view for view in lanes if view.kind.spot and not view.booting]
         free = 0.0
         for view in spot:
             model = self.keeper.types[view.kind.type]
