One Offer and one SLACK for the planner and for gangs

Cause: gangs/together.py described the offer a second time, as a protocol, and had a slack of its own, only to avoid a circular import. Change: both stand in scheduling/lanes.py, below the two that use them.

--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -18,8 +18,8 @@
 from dappledrum.scheduling.chains import Link, Stage, stages
 from dappledrum.scheduling.deadlines import closing_deadlines, next_deadline, stage_deadlines
 from dappledrum.scheduling.estimates import Estimates
-from dappledrum.scheduling.lanes import Kind, Lanes, Size, fetch_time
-from dappledrum.scheduling.plan import Bag, Offer, Plan, Planner, TeamRoom
+from dappledrum.scheduling.lanes import Kind, Lanes, Offer, Size, fetch_time
+from dappledrum.scheduling.plan import Bag, Plan, Planner, TeamRoom
 from dappledrum.scheduling.preempt import Host, Victim, choose
 from dappledrum.settings import Params
 from dappledrum.workers.failures import suspected
--- a/dappledrum/gangs/test_gangs.py
+++ b/dappledrum/gangs/test_gangs.py
@@ -8,8 +8,8 @@
 from dappledrum.clock import seconds
 from dappledrum.gangs.together import Gang, Search, room_at
 from dappledrum.peers.versions import GANGS, at_least
-from dappledrum.scheduling.lanes import Kind, Lanes, Size
-from dappledrum.scheduling.plan import Bag, Offer, Planner, TeamRoom
+from dappledrum.scheduling.lanes import Kind, Lanes, Offer, Size
+from dappledrum.scheduling.plan import Bag, Planner, TeamRoom
 from dappledrum.settings import Team
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
--- a/dappledrum/gangs/together.py
+++ b/dappledrum/gangs/together.py
@@ -10,26 +10,13 @@
 
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from dappledrum.clock import ZERO
-from dappledrum.scheduling.lanes import Kind, Lanes, Size, fetch_time
+from dappledrum.scheduling.lanes import SLACK, Kind, Lanes, Offer, Size, fetch_time
 
 PROBED = 24  # moments tried at first; a fleet has thousands at which something ends
 REFINED = 5
-SLACK = timedelta(milliseconds=500)
-
-
-class OfferLike(Protocol):
-    """What is known of a kind of machine that can be rented."""
-
-    kind: Kind
-    capacity: Size
-    hourly: float
-    boot: timedelta
-    fetch_gb_per_s: float
-    interval: timedelta
-    most: int
 
 
 class Gang(NamedTuple):
@@ -75,7 +62,7 @@
     """One gang on the machines of one plan."""
 
     def __init__(
-        self, gang: Gang, lanes: Sequence[Lanes], offers: Sequence[OfferLike], now: timedelta
+        self, gang: Gang, lanes: Sequence[Lanes], offers: Sequence[Offer], now: timedelta
     ) -> None:
         self.gang = gang
         self.now = now
@@ -138,7 +125,7 @@
                 before = middle
         return self._room(moments[at], shares)
 
-    def with_renting(self, offers: Sequence[OfferLike]) -> Room | None:
+    def with_renting(self, offers: Sequence[Offer]) -> Room | None:
         """All room at the moment when the slowest of some kinds is up, these rented as far as they
         are needed, the first ones first."""
         start = self.now + max(one.boot for one in offers)
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -6,10 +6,12 @@
 """
 
 import math
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
 
 EPSILON = 1e-6
+SLACK = timedelta(milliseconds=500)  # overruns that differ by less are taken for equal
 MOST_FIT = 1_000  # of tasks that take nothing
 
 
@@ -60,6 +62,19 @@
     spot: bool
 
 
+@dataclass
+class Offer:
+    """A kind of machine that can be rented now."""
+
+    kind: Kind
+    capacity: Size
+    hourly: float
+    boot: timedelta
+    fetch_gb_per_s: float
+    interval: timedelta
+    most: int
+
+
 class Gap(NamedTuple):
     """Room on a machine: from when, for how many tasks, and until when they would run."""
 
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -13,13 +13,12 @@
 
 from dappledrum.clock import ZERO
 from dappledrum.gangs.together import Gang, Search
-from dappledrum.scheduling.lanes import Gap, Kind, Lanes, Size, fetch_time
+from dappledrum.scheduling.lanes import SLACK, Gap, Kind, Lanes, Offer, Size, fetch_time
 from dappledrum.scheduling.rooms import Rooms, Row
 
 # tasks of one bag that one plan spreads over rented machines; the others wait for the next wake
 TRIED = 160
 GANGS_SOUGHT = 4  # gangs for which one plan looks beyond the room of the moment
-SLACK = timedelta(milliseconds=500)  # overruns that differ by less are taken for equal
 
 #: Order of machines in Algorithm 2; the last item is unique, so nothing behind it is compared.
 _Score = tuple[int, float, float, bool, int]
@@ -55,19 +54,6 @@
     gang: bool = False  # its tasks run together or not at all
 
 
-@dataclass
-class Offer:
-    """A kind of machine that can be rented now."""
-
-    kind: Kind
-    capacity: Size
-    hourly: float
-    boot: timedelta
-    fetch_gb_per_s: float
-    interval: timedelta
-    most: int
-
-
 @dataclass
 class Plan:
     """What follows from a round of planning."""
--- a/dappledrum/scheduling/test_plan.py
+++ b/dappledrum/scheduling/test_plan.py
@@ -11,8 +11,8 @@
 from dappledrum.model.dds import PlainMachine, fill, no_overuse, rent
 from dappledrum.scheduling.deadlines import closing_deadlines, next_deadline, stage_deadlines
 from dappledrum.scheduling.estimates import Estimates, Sample
-from dappledrum.scheduling.lanes import Kind, Lanes, Size
-from dappledrum.scheduling.plan import Bag, Offer, Planner, TeamRoom
+from dappledrum.scheduling.lanes import Kind, Lanes, Offer, Size
+from dappledrum.scheduling.plan import Bag, Planner, TeamRoom
 from dappledrum.settings import Objective
 
 LENGTH = 60
