Reread: one check for machines that take work, one loop for hints, gangs looked for once

Need: the account asked anew what the planner's view asks (usable, silent, blocked); two memories had the same loop; a gang beyond the fourth was looked for twice in a plan; a type's spot price was checked twice; the account was told the moment that it can ask for.

--- a/dappledrum/accounts/ledger.py
+++ b/dappledrum/accounts/ledger.py
@@ -53,14 +53,14 @@
 class Ledger:
     """Books what is spent; `step` is called every now and then."""
 
-    def __init__(self, roster: Roster, clock: Clock, began: timedelta) -> None:
+    def __init__(self, roster: Roster, clock: Clock) -> None:
         self.roster = roster
         self.clock = clock
-        self.began = began
+        self.began = clock.now()
         self.accounts: dict[str, _Account] = {}
         self.recent: Lines = Counter()  # since it was last told
         self.ordinary = 0.0  # of that on machines that are not spot
-        self.told_at = began
+        self.told_at = self.began
 
     def step(
         self,
@@ -105,8 +105,7 @@
         if not machine.up:
             self._add(account, Entry.BOOT, money)
             return
-        size = Size(model.cpus, model.gpus, model.memory_gb)
-        free = size
+        free = Size(model.cpus, model.gpus, model.memory_gb)
         left = 1.0
         assert machine.kind is not None
         for placement in machine.placements.values():
--- a/dappledrum/accounts/test_accounts.py
+++ b/dappledrum/accounts/test_accounts.py
@@ -54,7 +54,7 @@
 @given(steps)
 def test_all_money_is_booked_once_whatever_happens(drawn):
     clock, roster = Steps(), Roster()
-    ledger = Ledger(roster, clock, clock.now())
+    ledger = Ledger(roster, clock)
     work = live_job(beats=200, vcpus=2.0)
     names = ["host-0", "host-1", "host-2"]
     for name in names:
--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -222,15 +222,16 @@
     def available(self) -> list[str]:
         """Machines that new work may use at this moment, for the account."""
         now = self.clock.now()
+        return [m.name for m in self.roster if m.up and self._takes_work(m, now)]
+
+    def _takes_work(self, machine: Machine, now: timedelta) -> bool:
+        """Whether something new may be put on a machine, now or when it is up."""
+        if not machine.usable:
+            return False
         report = self.params.workers.report
-        return [
-            m.name
-            for m in self.roster
-            if m.up
-            and m.usable
-            and now >= m.blocked_until
-            and not m.silent(now, report, self.awake_since)
-        ]
+        return not machine.up or not (
+            machine.silent(now, report, self.awake_since) or now < machine.blocked_until
+        )
 
     def _mean(self, job: Job) -> timedelta:
         return self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)[0]
@@ -246,12 +247,7 @@
     def _lanes(self, machine: Machine, now: timedelta) -> Lanes | None:
         kind = machine.kind
         model = self.keeper.types.get(kind.type) if kind is not None else None
-        if kind is None or model is None or not machine.usable:
-            return None
-        if machine.up and (
-            machine.silent(now, self.params.workers.report, self.awake_since)
-            or now < machine.blocked_until
-        ):
+        if kind is None or model is None or not self._takes_work(machine, now):
             return None
         if not machine.up and machine.placements:
             return None
@@ -560,7 +556,7 @@
             if not view.kind.spot
             and not view.booting
             and (machine := self.roster.get(view.machine)) is not None
-            and self._has_spot(view.kind)
+            and self._has_spot(self.keeper.types.get(view.kind.type))
             and all(p.page.job.spec.form is not Form.SERVICE for p in machine.placements.values())
         ]
         ordinary.sort(key=lambda pair: (-pair[0].hourly_cpu, len(pair[1].placements)))
@@ -584,7 +580,7 @@
         coming = sum(view.capacity for view in lanes if view.booting and view.kind.spot)
         cpus = min(cpus, SWAPPED * sum(view.capacity for view in lanes)) - coming
         result: dict[Kind, int] = {}
-        models = [m for m in self.keeper.types.values() if m.spot_price is not None and m.cpus > 0]
+        models = [m for m in self.keeper.types.values() if m.cpus > 0 and self._has_spot(m)]
         for model in sorted(models, key=lambda m: m.hourly(True) / m.cpus):
             whole = Size(model.cpus, model.gpus, model.memory_gb)
             if any(whole.times(size) < 1 for size in self.sizes):
@@ -592,7 +588,7 @@
             for zone in model.zones:
                 kind = Kind(model.name, zone, True)
                 count = min(math.ceil(cpus / model.cpus), RENT_MOST)
-                if count > 0 and self._has_spot(kind) and self.keeper.offered(kind):
+                if count > 0 and self.keeper.offered(kind):
                     result[kind] = count
                     cpus -= count * model.cpus
         return result
@@ -602,9 +598,9 @@
         """CPUs that tasks hold on a machine."""
         return sum(p.page.job.spec.cpus for p in machine.placements.values())
 
-    def _has_spot(self, kind: Kind) -> bool:
+    @staticmethod
+    def _has_spot(model: MachineType | None) -> bool:
         """Whether a machine of the type would cost less as a spot machine."""
-        model = self.keeper.types.get(kind.type)
         return (
             model is not None and model.spot_price is not None and model.spot_price < model.price
         )
--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -5,7 +5,6 @@
 their reports.
 """
 
-import asyncio
 from datetime import UTC, datetime, timedelta
 
 from dappledrum.clock import ZERO, Clock
@@ -52,9 +51,7 @@
 
     async def run(self) -> None:
         """Keep the record current."""
-        while True:
-            await asyncio.sleep(PAUSE.total_seconds())
-            await self.hint.keep(self._record())
+        await self.hint.follow(self._record, PAUSE)
 
     async def recall(self) -> None:
         """Take over what a predecessor has rented."""
--- a/dappledrum/gangs/together.py
+++ b/dappledrum/gangs/together.py
@@ -94,11 +94,15 @@
                     zones[one.kind.zone] -= take
         return result, zones, left
 
+    def at_once(self) -> Room | None:
+        """Room for all of it now, on the machines at hand."""
+        shares, _, left = self.shares(self.now)
+        return self._room(self.now, shares) if left <= 0 else None
+
     def without_renting(self) -> Room | None:
         """The earliest moment that is found on the machines at hand."""
-        shares, _, left = self.shares(self.now)
-        if left <= 0:
-            return self._room(self.now, shares)
+        if (room := self.at_once()) is not None:
+            return room
         moments = sorted({t for one in self.lanes for t in one.times if t > self.now})
         step = max(1, -(-len(moments) // PROBED))
         probes = [*range(0, len(moments), step)]
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -85,7 +85,7 @@
         self.jobs: dict[str, Job] = {}
         self.over: OrderedDict[str, None] = OrderedDict()
         self.roster = Roster()
-        self.ledger = Ledger(self.roster, clock, clock.now())
+        self.ledger = Ledger(self.roster, clock)
         self.estimates = Estimates()
         self.recorder = Recorder(state, term, params.state, ceiling, clock)
         self.recorder.on_ended = self._ended
--- a/dappledrum/learning/memory.py
+++ b/dappledrum/learning/memory.py
@@ -6,7 +6,6 @@
 costs only the learning.
 """
 
-import asyncio
 import logging
 from collections.abc import Mapping
 from datetime import UTC, datetime, timedelta
@@ -59,9 +58,7 @@
 
     async def run(self) -> None:
         """Keep the record current."""
-        while True:
-            await asyncio.sleep(PAUSE.total_seconds())
-            await self.hint.keep(self.record())
+        await self.hint.follow(self.record, PAUSE)
 
     async def recall(self, nominal: Mapping[str, timedelta]) -> None:
         """Take over what a predecessor has learned; `nominal`: the catalog's boot times, by type.
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -156,11 +156,8 @@
         )
         search = Search(gang, self.lanes, self.offers, self.now)
         self.sought += 1
-        if self.sought > GANGS_SOUGHT:
-            shares, _, left = search.shares(self.now)
-            room = None if left else search.best(rent=False)
-        else:
-            room = search.best(rent=not bag.held)
+        closely = self.sought <= GANGS_SOUGHT
+        room = search.best(rent=not bag.held) if closely else search.at_once()
         if room is None or room.finish > bag.due:
             self.plan.late[bag.id] = count
         if room is None:
--- a/dappledrum/state/hint.py
+++ b/dappledrum/state/hint.py
@@ -1,6 +1,9 @@
 """Records that only help a successor: nothing rests on them, and they are not worth a retry."""
 
+import asyncio
 import logging
+from collections.abc import Callable
+from datetime import timedelta
 from typing import Generic, TypeVar
 
 import msgspec
@@ -42,6 +45,12 @@
         except StateError as error:
             log.debug("%s not written: %s", self.key, error)
 
+    async def follow(self, make: Callable[[], T], pause: timedelta) -> None:
+        """Keep the record current, for ever."""
+        while True:
+            await asyncio.sleep(pause.total_seconds())
+            await self.keep(make())
+
     async def recall(self) -> T | None:
         """What a predecessor has left; None when there is nothing, or nothing usable."""
         try:
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -53,7 +53,7 @@
         wake: Callable[[str], None],
         ledger: Ledger | None = None,
     ) -> None:
-        self.ledger = ledger or Ledger(roster, clock, clock.now())
+        self.ledger = ledger or Ledger(roster, clock)
         self.jobs = jobs
         self.roster = roster
         self.estimates = estimates
