--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -354,14 +354,20 @@
             commands = await leader.report(report, lambda: self.elector.holding() is leader.term)
             if commands is not None:
                 return Response(HTTPStatus.OK, msgspec.json.encode(commands))
-        known = self.elector.leader
-        if known is not None and known.member != self.settings.member:
-            return Response(
-                HTTPStatus.MISDIRECTED_REQUEST,
-                msgspec.json.encode(Redirect(known.member)),
-                close=True,  # the worker goes elsewhere, so its place is free
-            )
-        return busy()
+        return Response(
+            HTTPStatus.MISDIRECTED_REQUEST,
+            msgspec.json.encode(Redirect(self._conductor())),
+            close=True,  # the worker goes elsewhere, so its place is free
+        )
+
+    def _conductor(self) -> str | None:
+        """Whom to send a worker to; None: not known, so that it tries the next one by itself.
+
+        A controller that the state service does not serve may know only a former leader. Four
+        that did so once sent all workers round in a ring, and none came to the fifth, which led.
+        """
+        known = None if self.state.troubled() else self.elector.leader
+        return None if known is None or known.member == self.settings.member else known.member
 
     # peers
 
--- a/dappledrum/workers/messages.py
+++ b/dappledrum/workers/messages.py
@@ -100,7 +100,7 @@
     commands: list[Command]
 
 
-class Redirect(msgspec.Struct, rename={"report_to": "conductor"}):
-    """Body of a 421: the controller to report to."""
+class Redirect(msgspec.Struct, omit_defaults=True, rename={"report_to": "conductor"}):
+    """Body of a 421: the controller to report to; without one the worker tries the next."""
 
-    report_to: str
+    report_to: str | None = None
