--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -45,10 +45,11 @@
 
 @dataclass(frozen=True)
 class Tuning:
-    """The operator's own settings of the paper's open parameters."""
+    """The operator's own settings: the paper's open parameters, and what is enabled."""
 
     interval: timedelta = timedelta(seconds=60)
     ready_share: float = 0.3
+    reach: bool = True  # what is known of links is told, heard and acted upon
 
 
 class Dispatcher:
--- a/dappledrum/fleet/cloud.py
+++ b/dappledrum/fleet/cloud.py
@@ -18,6 +18,7 @@
     RentalRequest,
 )
 from dappledrum.http.client import Caller, NoResponseError, Reply
+from dappledrum.reach.links import Link
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
         self.gap = timedelta(seconds=1 / rps)
         self.clock = clock
         self.next_at = ZERO
+        self.link = Link(clock)
 
     async def _call(
         self,
@@ -58,10 +60,13 @@
             # The process may have stood still since this was decided, and another controller may
             # be using the machines by now.
             raise CloudError("no longer entitled")
+        sent = self.link.sent()
         try:
             reply = await self.caller.request(method, path, body, PATIENCE)
         except NoResponseError as error:
             raise CloudError(str(error)) from error
+        if reply.status < 500 or b"no capacity" in reply.body:
+            self.link.served(sent)
         if reply.status == 503 and b"no capacity" in reply.body:
             raise NoCapacityError("no capacity")
         if reply.status != 200:
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -3,9 +3,10 @@
 
 import asyncio
 import logging
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from itertools import islice
 
 import msgspec
 
@@ -384,8 +385,30 @@
 
     # workers
 
-    async def report(self, report: Report, holding: Callable[[], bool]) -> Commands | None:
-        """Answer to a worker; None when this controller is not entitled to give one."""
+    def reporting(self) -> Counter[str]:
+        """How many machines should be heard of, by zone."""
+        now, lease = self.clock.now(), self.params.workers.lease
+        result: Counter[str] = Counter()
+        for machine in self.roster:
+            if machine.returning or machine.failed or machine.expired(now, lease):
+                continue
+            if machine.up and machine.kind is not None:
+                result[machine.kind.zone] += 1
+            else:
+                result.update(p.zone for p in islice(machine.placements.values(), 1))
+        return result
+
+    async def settle(self, patience: timedelta) -> None:
+        """Write down what has happened, before another leads."""
+        until = self.clock.now() + patience
+        while self.recorder.dirty and self.clock.now() < until:
+            await asyncio.sleep(0.02)
+
+    async def report(
+        self, report: Report, holding: Callable[[], bool], most: timedelta = IDLE_MOST
+    ) -> Commands | None:
+        """Answer to a worker, which may wait for work for that long; None when this controller
+        is not entitled to give one."""
         if not self.loaded.is_set():
             try:
                 async with asyncio.timeout(1.5):
@@ -406,7 +429,7 @@
             known.last_answer = self.clock.now()
             return Commands(self.term.epoch, [])
         if self.leading():
-            await self._wait_for_work(machine)
+            await self._wait_for_work(machine, most)
         if not holding() or machine.name in self.roster.gone:
             return None
         now = self.clock.now()
@@ -415,7 +438,7 @@
         commands = self.bookkeeper.commands(machine, report, fresh and self.leading())
         return Commands(self.term.epoch, commands)
 
-    async def _wait_for_work(self, machine: Machine) -> None:
+    async def _wait_for_work(self, machine: Machine, most: timedelta) -> None:
         """Starts go only into answers, and the next report may be seconds away, so an answer waits
         a little: for the plan that the report itself has woken, or, when the machine is idle, for
         any plan that gives it something; then for the record of what it was given."""
@@ -423,7 +446,7 @@
             patience = ZERO
             if self.woken.is_set():
                 patience = PLAN_TIME
-            hold = min(self.params.workers.report * IDLE_SHARE, IDLE_MOST)
+            hold = min(self.params.workers.report * IDLE_SHARE, most)
             if not machine.placements or self.dispatcher.may_wait(machine, hold):
                 patience = hold
             machine.given.clear()
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -9,13 +9,20 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 
 from dappledrum.clock import ZERO, Clock, longer, shorter
-from dappledrum.leadership.messages import EpochRecord, LeaderRecord, PromiseReply, PromiseRequest
+from dappledrum.leadership.messages import (
+    EpochRecord,
+    HandOver,
+    LeaderRecord,
+    PromiseReply,
+    PromiseRequest,
+)
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import (
     CompactedError,
@@ -25,7 +32,7 @@
     StateError,
     raw,
 )
-from dappledrum.state.messages import Guard, Put
+from dappledrum.state.messages import Event, Guard, Put
 
 log = logging.getLogger(__name__)
 
@@ -33,26 +40,49 @@
 EPOCH = "epoch"
 MARGIN = timedelta(milliseconds=100)
 PROMISE = timedelta(seconds=2)
+#: How long a leader waits for its successor to say that it leads, before it ends its own lease.
+GIVING = timedelta(seconds=1.5)
+#: The bound on handing over, whatever the links do: not in the first moments of a term, and this
+#: often in this time at the most.
+TERM_LEAST = timedelta(seconds=10)
+MOVES = 3
+MOVES_IN = timedelta(seconds=60)
 
 Asker = Callable[[PromiseRequest, timedelta], Awaitable[bool]]
+Giver = Callable[[str, HandOver, timedelta], Awaitable[bool]]
 
 
 class Term:
     """One period of leadership."""
 
-    def __init__(self, epoch: int, version: int, lease: int) -> None:
+    def __init__(self, epoch: int, version: int, lease: int, began: timedelta = ZERO) -> None:
+        self.began = began
         self.epoch = epoch
         self.version = version
         self.lease = lease
         self.valid_until = ZERO  # by the lease
         self.promised_until = ZERO  # by the promise of all peers
         self.over = asyncio.Event()
+        self.successor: str | None = None  # to whom it is handed over
 
     def guard(self) -> Guard:
         """Condition under which a write of this leader may happen."""
         return Guard(LEADER, self.version)
 
 
+class Offer:
+    """A predecessor's word that it has stopped, until it is known what became of it."""
+
+    def __init__(self, request: HandOver) -> None:
+        self.request = request
+        self.leads: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    def settle(self, leads: bool) -> None:
+        """Tell the predecessor."""
+        if not self.leads.done():
+            self.leads.set_result(leads)
+
+
 class Elector:
     """Stands for leader when there is none; renews while leading; knows who leads."""
 
@@ -64,6 +94,7 @@
         rng: random.Random,
         life: timedelta,
         ask_peers: Asker,
+        give: Giver | None = None,
     ) -> None:
         self.member = member
         self.state = state
@@ -71,6 +102,7 @@
         self.rng = rng
         self.life = life
         self.ask_peers = ask_peers
+        self.give = give
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self.on_change: Callable[[], None] = lambda: None
@@ -80,6 +112,13 @@
         self.unknown_until = clock.now() + longer(PROMISE)
         self.avoid_until = ZERO
         self.tried_epoch: int | None = None
+        self.epoch = 0  # the highest that was heard of
+        self.moves: list[timedelta] = []  # when leadership was handed over, as far as known
+        #: How long this controller lets a better one stand first; asked once for each vacancy.
+        self.defer: Callable[[], timedelta] = lambda: ZERO
+        self._deferred = False
+        self._offer: Offer | None = None
+        self._offered = asyncio.Event()
 
     def leading(self) -> Term | None:
         """The running term, if this controller may give commands at this moment."""
@@ -113,6 +152,44 @@
             log.warning("resigning: %s", why)
             self.term.over.set()
 
+    def may_move(self) -> bool:
+        """Whether leadership may be handed over now, by the bound on how often."""
+        term, now = self.term, self.clock.now()
+        self.moves = [at for at in self.moves if now - at < MOVES_IN]
+        return (
+            term is not None
+            and not term.over.is_set()
+            and now - term.began >= TERM_LEAST
+            and len(self.moves) < MOVES
+        )
+
+    def hand_over(self, member: str, why: str) -> None:
+        """Stop acting for good, then name a successor, which need not wait for the lease.
+
+        The order matters: nothing may be answered once the successor can lead.
+        """
+        term = self.holding()
+        if term is not None:
+            log.warning("handing over to %s: %s", member, why)
+            term.successor = member
+            term.over.set()
+
+    async def take_over(self, request: HandOver) -> bool:
+        """A leader has stopped and names this controller; whether it leads now."""
+        if self.term is not None or self._offer is not None:
+            return False
+        offer = self._offer = Offer(request)
+        self._offered.set()
+        try:
+            async with asyncio.timeout(GIVING.total_seconds()):
+                return await offer.leads
+        except TimeoutError:
+            return False
+        finally:
+            if self._offer is offer:
+                self._offer = None
+                self._offered.clear()
+
     async def run(self) -> None:
         """Follow or lead, for ever."""
         while True:
@@ -134,21 +211,52 @@
             if await self._may_stand():
                 await self._stand()
             return
+        self._deferred = False
         self._learn(msgspec.json.decode(holder.value, type=LeaderRecord))
+        version = holder.version
         while True:
             try:
-                events, revision = await self.state.watch(
-                    LEADER, revision, self.life * 2, Rank.LEASE
-                )
+                seen = await self._watch(revision)
             except CompactedError:
                 return
+            if seen is None:
+                await self._accept(version)
+                return
+            events, revision = seen
             for event in events:
                 if event.put == LEADER:
+                    version = event.version  # a key that is handed over is replaced, not removed
                     self._learn(msgspec.json.decode(event.value, type=LeaderRecord))
                 elif event.delete == LEADER:
                     return
 
+    async def _watch(self, revision: int) -> tuple[list[Event], int] | None:
+        """Changes of the leader's key; None when a leader has offered its place meanwhile."""
+        watch = asyncio.ensure_future(
+            self.state.watch(LEADER, revision, self.life * 2, Rank.LEASE)
+        )
+        offered = asyncio.ensure_future(self._offered.wait())
+        try:
+            await asyncio.wait((watch, offered), return_when=asyncio.FIRST_COMPLETED)
+            return None if offered.done() else await watch
+        finally:
+            offered.cancel()
+            watch.cancel()
+
+    async def _accept(self, seen: int) -> None:
+        """Stand in the place of a leader that has stopped, if its key is still as it says."""
+        offer = self._offer
+        if offer is None:
+            return
+        try:
+            if offer.request.version == seen:
+                await self._stand(offer)
+        finally:
+            offer.settle(False)
+
     def _learn(self, leader: LeaderRecord | None) -> None:
+        if leader is not None:
+            self.epoch = max(self.epoch, leader.epoch)
         if leader != self.leader:
             self.leader = leader
             self.on_change()
@@ -159,20 +267,32 @@
         if wait > ZERO:
             await asyncio.sleep(min(wait, timedelta(seconds=0.5)).total_seconds())
             return False
+        if not self._deferred:
+            self._deferred = True
+            wait = self.defer()
+            if wait > ZERO:
+                await asyncio.sleep(wait.total_seconds())
+                return False
         return True
 
-    async def _stand(self) -> None:
+    async def _stand(self, offer: Offer | None = None) -> None:
+        """Take the key, when there is none or in the place of the leader that offers it."""
         entry = await self.state.get(EPOCH, Rank.LEASE)
         epoch = (
             msgspec.json.decode(entry.value, type=EpochRecord).epoch if entry is not None else 0
         )
+        if offer is not None and offer.request.epoch != epoch:
+            return
         lease = await self.state.open_lease(self.life)
-        if max(self.stand_after, self.unknown_until) > self.clock.now():
-            await self._drop(lease)  # a promise was given while we were reading
+        # A promise was given while we were reading. One whose place is offered needs none any
+        # more, and while its key stands nobody else can hold a term on promises (docs/reach.md).
+        if offer is None and max(self.stand_after, self.unknown_until) > self.clock.now():
+            await self._drop(lease)
             return
         self.tried_epoch = epoch
         sent = self.clock.now()
-        guards = [Guard(LEADER, 0), Guard(EPOCH, entry.version if entry is not None else 0)]
+        replaced = offer.request.version if offer is not None else 0
+        guards = [Guard(LEADER, replaced), Guard(EPOCH, entry.version if entry is not None else 0)]
         changes = [
             Put(LEADER, raw(LeaderRecord(self.member, epoch + 1)), lease),
             Put(EPOCH, raw(EpochRecord(epoch + 1))),
@@ -187,7 +307,7 @@
             await self._drop(lease)
             raise
         # The lease was opened before the transaction, so only a renewal tells how long it lasts.
-        term = Term(epoch + 1, version, lease)
+        term = Term(epoch + 1, version, lease, self.clock.now())
         try:
             await self._renew(term)
         except StateError:
@@ -201,6 +321,11 @@
         self.term = term
         self._learn(LeaderRecord(self.member, term.epoch))
         self.on_change()
+        if offer is not None:
+            self.moves = [
+                self.clock.now() - timedelta(milliseconds=m) for m in offer.request.moves_ms
+            ]
+            offer.settle(True)
         try:
             await self._keep(term)
         finally:
@@ -209,6 +334,12 @@
             self._learn(None)
             self.on_change()
             log.warning("no longer leading with epoch %d", term.epoch)
+        if term.successor is not None and self.give is not None:
+            now = self.clock.now()
+            moves = [int((now - at).total_seconds() * 1e3) for at in self.moves]
+            request = HandOver(self.member, term.epoch, version, [*moves, 0])
+            leads = await self.give(term.successor, request, GIVING)
+            log.info("%s %s", term.successor, "leads" if leads else "does not lead, standing down")
         await self._drop(lease)
 
     async def _renew(self, term: Term) -> None:
@@ -223,7 +354,8 @@
         """
         while not term.over.is_set():
             try:
-                await self._renew(term)
+                if not await self._unless_over(term, self._renew(term)):
+                    return
                 pause = self.life / 4
             except LeaseLostError:
                 return
@@ -240,6 +372,22 @@
             except TimeoutError:
                 pass
 
+    @staticmethod
+    async def _unless_over(term: Term, doing: Coroutine[Any, Any, None]) -> bool:
+        """Finish this, unless the term ends first: a renewal that hangs once kept a leader that
+        was handing over waiting until its lease was over all the same."""
+        task = asyncio.ensure_future(doing)
+        over = asyncio.ensure_future(term.over.wait())
+        try:
+            await asyncio.wait((task, over), return_when=asyncio.FIRST_COMPLETED)
+            if over.done():
+                return False
+            await task
+            return True
+        finally:
+            over.cancel()
+            task.cancel()
+
     async def _ask(self, term: Term) -> None:
         sent = self.clock.now()
         request = PromiseRequest(self.member, term.epoch, int(PROMISE.total_seconds() * 1000))
--- a/dappledrum/leadership/messages.py
+++ b/dappledrum/leadership/messages.py
@@ -1,6 +1,12 @@
 """Stored form of leadership, and what controllers tell each other about it."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
+
+Count = Annotated[int, Meta(ge=0)]
+Age = Annotated[int, Meta(ge=0, le=10**9)]  # milliseconds
 
 
 class LeaderRecord(msgspec.Struct):
@@ -29,3 +35,22 @@
 
     granted: bool
     reason: str = ""
+
+
+class HandOver(msgspec.Struct, tag="hand_over", tag_field="kind"):
+    """A leader that has stopped for good names its successor: the key `leader` may be replaced at
+    this version, and the epoch raised from this one.
+
+    `moves_ms` tells how long ago leadership was handed over before, for the bound on it.
+    """
+
+    member: str
+    epoch: Count
+    version: Count
+    moves_ms: list[Age] = []
+
+
+class HandOverReply(msgspec.Struct):
+    """Whether the successor leads now."""
+
+    leads: bool
--- a/dappledrum/main.py
+++ b/dappledrum/main.py
@@ -43,6 +43,13 @@
         help="ready share of a stage above which machines are rented for it"
         " (DAPPLEDRUM_READY_SHARE; default 0.3)",
     )
+    result.add_argument(
+        "--reach",
+        action=argparse.BooleanOptionalAction,
+        default=os.environ.get("DAPPLEDRUM_REACH", "") in ("1", "true", "yes", "on"),
+        help="tell the other controllers about links, and act on what they tell"
+        " (DAPPLEDRUM_REACH; default off)",
+    )
     return result
 
 
@@ -70,16 +77,17 @@
         stream=sys.stderr,
         format=f"%(asctime)s {settings.member} %(levelname)s %(name)s: %(message)s",
     )
-    return serve(settings, timedelta(seconds=options.interval_s), options.ready_share)
+    return serve(settings, options)
 
 
-def serve(settings: Settings, interval: timedelta, ready_share: float) -> int:
+def serve(settings: Settings, options: argparse.Namespace) -> int:
     """Run the controller until it is killed."""
     from dappledrum.dispatch import Tuning
     from dappledrum.wiring import run_node
 
+    tuning = Tuning(timedelta(seconds=options.interval_s), options.ready_share, options.reach)
     try:
-        asyncio.run(run_node(settings, Tuning(interval=interval, ready_share=ready_share)))
+        asyncio.run(run_node(settings, tuning))
     except KeyboardInterrupt:
         return 130
     except OSError as error:
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -18,9 +18,9 @@
 from dappledrum.http.server import Request, Response
 from dappledrum.jobs.intake import Intake, busy, refusal
 from dappledrum.jobs.record import Job
-from dappledrum.leader import Leader
+from dappledrum.leader import IDLE_MOST, Leader
 from dappledrum.leadership.elector import Elector
-from dappledrum.leadership.messages import PromiseReply
+from dappledrum.leadership.messages import HandOver, HandOverReply, PromiseReply
 from dappledrum.patience import Pulse
 from dappledrum.peers.client import Peers
 from dappledrum.peers.messages import (
@@ -39,14 +39,17 @@
     encode,
 )
 from dappledrum.peers.messages import Knocks as KnocksQuestion
-from dappledrum.peers.versions import GANGS, at_least
+from dappledrum.peers.versions import GANGS, REACH, at_least
+from dappledrum.reach.messages import Passed, PassedReply, Words
+from dappledrum.reach.service import Probe, Reach
 from dappledrum.settings import Settings
 from dappledrum.state.budget import Rank
 from dappledrum.state.ceiling import Ceiling
 from dappledrum.state.client import State, StateError, raw
 from dappledrum.state.messages import Guard, Put
+from dappledrum.troubles import Trouble
 from dappledrum.workers.knocks import Knocks, shunned
-from dappledrum.workers.messages import Redirect, Report
+from dappledrum.workers.messages import Commands, Redirect, Report
 
 log = logging.getLogger(__name__)
 
@@ -54,11 +57,14 @@
 GANGS_KNOWN = "gangs"
 LEADER_SHARE = 0.6
 FOLLOWER_BURST = 2.0  # seconds
+RELAYS = 2
 RELAY_TIME = timedelta(milliseconds=900)
 KNOCK_TIME = timedelta(seconds=10)
 VERSION_PAUSE = timedelta(seconds=2)
 HOLDERS_TIME = timedelta(milliseconds=200)
 AVOID = timedelta(seconds=20)
+PASSED_WAIT = timedelta(milliseconds=300)  # a passed report's answer waits for work no longer
+SETTLE = timedelta(milliseconds=500)
 LIFE_MOST = timedelta(seconds=3)
 
 
@@ -75,6 +81,7 @@
         state: Caller,
         cloud: Caller,
         peers: dict[str, Caller],
+        probe: Probe,
     ) -> None:
         self.settings = settings
         limits = settings.params.state
@@ -86,13 +93,40 @@
         self.cloud = Cloud(cloud, self.params.cloud.rps * 0.9, clock)
         self.peers = Peers(peers)
         life = min(LIFE_MOST, self.params.workers.lease / 3)
-        self.elector = Elector(settings.member, self.state, clock, rng, life, self.peers.promise)
+        self.elector = Elector(
+            settings.member,
+            self.state,
+            clock,
+            rng,
+            life,
+            self.peers.promise,
+            self.peers.hand_over,
+        )
         self.elector.on_change = self._leadership_changed
         self.ceiling = Ceiling(limits)
         self.intake = Intake(self.state, self.params, clock, self.ceiling)
         self.pulse = Pulse(clock)
         self.leader: Leader | None = None
         self.knocks = Knocks()
+        self.no_catalog = Trouble(log, clock, "no machine types are known yet")
+        self.reach = Reach(
+            settings.member,
+            clock,
+            rng,
+            self.peers,
+            self.elector,
+            self.params.workers,
+            self.pulse,
+            self.state.link,
+            self.cloud.link,
+            lambda: self.leader.reporting() if self.leader is not None else {},
+            probe,
+            self._ask_state,
+            self._ask_cloud,
+            self._hand_over,
+        )
+        if tuning.reach:
+            self.elector.defer = self.reach.deference
         self._term_begun = asyncio.Event()
         self._set_share()
 
@@ -106,6 +140,7 @@
             self._hear_workers(),
             self._learn_versions(),
             self._learn_holders(),
+            *([self.reach.run()] if self.tuning.reach else []),
         )
 
     def _set_share(self) -> None:
@@ -125,6 +160,7 @@
     def _leadership_changed(self) -> None:
         self._set_share()
         self._term_begun.set()
+        self.reach.tell()
 
     async def _lead(self) -> None:
         """Run the leader's part for as long as each term lasts."""
@@ -164,6 +200,7 @@
         while True:
             types = await self._stored_types() or await self._cloud_types()
             if types:
+                self.no_catalog.over()
                 self.intake.types = types
                 if self.leader is not None:
                     self.leader.set_types(types)
@@ -179,14 +216,14 @@
                 msgspec.json.decode(entry.value, type=Catalog).types if entry is not None else []
             )
         except (StateError, msgspec.DecodeError) as error:
-            log.info("no stored catalog: %s", error)
+            self.no_catalog.seen(f"no stored catalog: {error}")
             return []
 
     async def _cloud_types(self) -> list[MachineType]:
         try:
             types = await self.cloud.catalog()
         except CloudError as error:
-            log.info("no catalog: %s", error)
+            self.no_catalog.seen(f"no catalog: {error}")
             return []
         value = raw(Catalog(types))
         if types and len(value) < self.params.state.value_bytes:
@@ -205,6 +242,8 @@
             now = self.clock.now()
             if leader is None or not leader.loaded.is_set() or self.elector.leading() is None:
                 continue
+            if self.tuning.reach and self.reach.speaks:
+                continue  # words tell more, and who had better lead
             heard = self.knocks.last
             began = max(leader.began, self.pulse.awake_since())
             if now - began < silence or (heard is not None and now - heard < silence):
@@ -223,19 +262,23 @@
         once all run a version that knows them; that this was so is stored, as a controller may be
         down for long."""
         told: dict[str, str] = {}
+        settled = False
         while True:
             for member in self.peers.callers:
-                if at_least(told.get(member, ""), GANGS):
+                if at_least(told.get(member, ""), REACH):
                     continue
                 version = await self.peers.version(member, RELAY_TIME)
                 if version is not None and version != told.get(member):
                     told[member] = version
                     log.info("%s runs version %.40s", member, version)
+                    if at_least(version, REACH):
+                        self.reach.speaks.add(member)
             if len(told) == len(self.peers.callers):
                 self.ceiling.settle("all controllers read them")
             if all(at_least(told.get(member, ""), GANGS) for member in self.peers.callers):
                 self.intake.gangs = True
-            if await self._gangs_known():
+            settled = settled or await self._gangs_known()
+            if settled and all(at_least(told.get(m, ""), REACH) for m in self.peers.callers):
                 return
             await asyncio.sleep(VERSION_PAUSE.total_seconds())
 
@@ -255,6 +298,26 @@
             log.debug("not known whether all know gangs: %s", error)
             return False
 
+    # links
+
+    async def _ask_state(self) -> None:
+        try:
+            await self.state.get(CATALOG, Rank.LEASE, timedelta(seconds=1))
+        except StateError as error:
+            log.debug("state service not reached: %s", error)
+
+    async def _ask_cloud(self) -> None:
+        try:
+            await self.cloud.catalog()
+        except CloudError as error:
+            log.debug("cloud not reached: %s", error)
+
+    async def _hand_over(self, member: str, why: str) -> None:
+        """Name a successor, with what has happened written down if it can be."""
+        if self.leader is not None and not self.state.troubled():
+            await self.leader.settle(SETTLE)
+        self.elector.hand_over(member, why)
+
     async def _learn_holders(self) -> None:
         """After a restart, ask whether anybody may still rely on what the process before has
         promised: the wait for it to lapse is most of what a restart of all costs."""
@@ -325,11 +388,12 @@
         return await self.intake.cancel(parts[2])
 
     async def _relay(self, request: Request) -> Response | None:
-        """Ask the peers at the same time, and take the first answer that is one."""
+        """Ask the two peers that the state service serves best at the same time, or all when none
+        is known to be served, and take the first answer that is one."""
         question = Relay(request.method, request.path, request.body)
         asked = [
             asyncio.ensure_future(self.peers.relay(member, question, RELAY_TIME))
-            for member in self.peers.callers
+            for member in self.reach.served_peers()[:RELAYS] or self.peers.callers
         ]
         try:
             for done in asyncio.as_completed(asked):
@@ -349,25 +413,40 @@
             log.warning("unusable report: %s", error)
             return refusal(HTTPStatus.BAD_REQUEST, str(error))
         self.knocks.note(report.machine, self.clock.now())
-        leader = self.leader
-        if leader is not None and self.elector.holding() is leader.term:
-            commands = await leader.report(report, lambda: self.elector.holding() is leader.term)
-            if commands is not None:
-                return Response(HTTPStatus.OK, msgspec.json.encode(commands))
+        self.reach.zone(report.zone).heard(self.clock.now(), report.address)
+        commands = await self._commands(report, IDLE_MOST)
+        if commands is not None:
+            return Response(HTTPStatus.OK, msgspec.json.encode(commands))
+        conductor = self._conductor()
+        if conductor is not None and self.tuning.reach:
+            answer = await self.reach.pass_on(report.machine, report.zone, conductor, request.body)
+            if answer is not None:
+                return Response(HTTPStatus.OK, answer)
         return Response(
             HTTPStatus.MISDIRECTED_REQUEST,
-            msgspec.json.encode(Redirect(self._conductor())),
+            msgspec.json.encode(Redirect(conductor)),
             close=True,  # the worker goes elsewhere, so its place is free
         )
 
+    async def _commands(self, report: Report, most: timedelta) -> Commands | None:
+        """The leader's answer; None: this controller is not entitled to give one."""
+        leader = self.leader
+        if leader is None or self.elector.holding() is not leader.term:
+            return None
+        return await leader.report(report, lambda: self.elector.holding() is leader.term, most)
+
     def _conductor(self) -> str | None:
         """Whom to send a worker to; None: not known, so that it tries the next one by itself.
 
         A controller that the state service does not serve may know only a former leader. Four
         that did so once sent all workers round in a ring, and none came to the fifth, which led.
         """
-        known = None if self.state.troubled() else self.elector.leader
-        return None if known is None or known.member == self.settings.member else known.member
+        if self.tuning.reach:
+            member = self.reach.conductor()
+        else:
+            known = None if self.state.troubled() else self.elector.leader
+            member = known.member if known is not None else None
+        return None if member == self.settings.member else member
 
     # peers
 
@@ -390,6 +469,12 @@
                 return RelayReply(HTTPStatus.SERVICE_UNAVAILABLE, b"{}", 1)
             response = await self._locally(Request(question.method, question.path, question.body))
             return RelayReply(response.status, response.body, response.retry_after)
+        if isinstance(question, Words):
+            return self.reach.answer(question)
+        if isinstance(question, Passed):
+            return PassedReply(await asyncio.gather(*map(self._passed, question.reports)))
+        if isinstance(question, HandOver):
+            return HandOverReply(await self.elector.take_over(question))
         if isinstance(question, HoldingQuestion):
             return HoldingReply(self.elector.holding() is not None)
         if isinstance(question, VersionQuestion):
@@ -406,3 +491,14 @@
             log.debug("state service not reached either: %s", error)
             return self.elector.promise(question.request)
         return PromiseReply(False, "state service reached")
+
+    async def _passed(self, body: bytes) -> bytes | None:
+        """The answer to a report that came through a peer: the same that the worker would get,
+        or none. It is not passed on again."""
+        try:
+            report = msgspec.json.decode(body, type=Report)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            log.warning("unusable report from a peer: %s", error)
+            return None
+        commands = await self._commands(report, PASSED_WAIT)
+        return None if commands is None else msgspec.json.encode(commands)
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -6,7 +6,12 @@
 from typing import Any
 
 from dappledrum.http.client import Caller, NoResponseError
-from dappledrum.leadership.messages import PromiseReply, PromiseRequest
+from dappledrum.leadership.messages import (
+    HandOver,
+    HandOverReply,
+    PromiseReply,
+    PromiseRequest,
+)
 from dappledrum.peers.messages import (
     HoldingQuestion,
     HoldingReply,
@@ -22,6 +27,7 @@
     decode,
     encode,
 )
+from dappledrum.reach.messages import Passed, PassedReply, Words, WordsReply
 
 log = logging.getLogger(__name__)
 
@@ -84,3 +90,20 @@
         """Have a peer serve a user's request."""
         reply: RelayReply | None = await self._ask(member, request, RelayReply, timeout)
         return reply
+
+    async def words(self, member: str, words: Words, timeout: timedelta) -> WordsReply | None:
+        """Tell a peer what is known of the links, and hear what it knows."""
+        reply: WordsReply | None = await self._ask(member, words, WordsReply, timeout)
+        return reply
+
+    async def passed(
+        self, member: str, reports: list[bytes], timeout: timedelta
+    ) -> list[bytes | None] | None:
+        """Have the leader answer reports of workers that do not reach it."""
+        reply = await self._ask(member, Passed(reports), PassedReply, timeout)
+        return None if reply is None else reply.answers
+
+    async def hand_over(self, member: str, request: HandOver, timeout: timedelta) -> bool:
+        """Name a successor; whether it leads now."""
+        reply = await self._ask(member, request, HandOverReply, timeout)
+        return reply is not None and reply.leads
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -8,7 +8,13 @@
 import cbor2
 import msgspec
 
-from dappledrum.leadership.messages import PromiseReply, PromiseRequest
+from dappledrum.leadership.messages import (
+    HandOver,
+    HandOverReply,
+    PromiseReply,
+    PromiseRequest,
+)
+from dappledrum.reach.messages import Passed, PassedReply, Words, WordsReply
 
 
 class Relay(msgspec.Struct, tag="relay", tag_field="kind"):
@@ -66,8 +72,17 @@
     holds: bool
 
 
-Question = Relay | Knocks | Promise | VersionQuestion | HoldingQuestion
-Reply = RelayReply | KnocksReply | PromiseReply | VersionReply | HoldingReply
+Question = Relay | Knocks | Promise | VersionQuestion | HoldingQuestion | Words | Passed | HandOver
+Reply = (
+    RelayReply
+    | KnocksReply
+    | PromiseReply
+    | VersionReply
+    | HoldingReply
+    | WordsReply
+    | PassedReply
+    | HandOverReply
+)
 
 
 class MalformedError(Exception):
--- a/dappledrum/peers/versions.py
+++ b/dappledrum/peers/versions.py
@@ -1,6 +1,7 @@
 """Versions of the other controllers, as far as they tell."""
 
 GANGS = (0, 4, 0)  # from this version on gangs are known
+REACH = (0, 5, 0)  # from this version on words of links are spoken
 
 
 def at_least(version: str, least: tuple[int, ...]) -> bool:
--- /dev/null
+++ b/dappledrum/reach/passing.py
@@ -0,0 +1,119 @@
+"""The way round for workers that do not reach the leader: their reports go through this one.
+
+A worker takes an equal token from any node, so the answer that the leader gave is the answer that
+it gets. One hop: what was passed on is answered or refused by the leader, never passed on again.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from dappledrum.clock import Clock
+
+GATHER = timedelta(milliseconds=40)  # reports that come together go together
+MOST_BYTES = 48 * 1024  # of a message; the peer takes 64 KiB
+#: For how long a worker is served this way before it is sent to the leader again; doubled each
+#: time that it comes back.
+SERVED = timedelta(seconds=20)
+SERVED_MOST = timedelta(seconds=120)
+MOST_WORKERS = 5_000
+
+Send = Callable[[str, list[bytes]], Awaitable[list[bytes | None] | None]]
+
+
+class Detour:
+    """One worker that came here while another leads."""
+
+    def __init__(self, leader: str) -> None:
+        self.leader = leader
+        self.sent_at: timedelta | None = None  # to the leader, and not seen since
+        self.served_until: timedelta | None = None
+        self.period = SERVED
+
+
+class Detours:
+    """Which workers were sent to the leader, and have come back."""
+
+    def __init__(self, clock: Clock, lease: timedelta) -> None:
+        self.clock = clock
+        self.lease = lease
+        self.workers: OrderedDict[str, Detour] = OrderedDict()
+
+    def needed(self, machine: str, leader: str, lost: bool) -> bool:
+        """Whether a report has to be passed on: its zone is known not to reach the leader, or it
+        was sent there within a lease and is here again, so nobody goes in a ring. Otherwise it is
+        sent there, and that is noted."""
+        now = self.clock.now()
+        detour = self.workers.get(machine)
+        if detour is None or detour.leader != leader:
+            detour = self.workers[machine] = Detour(leader)
+        self.workers.move_to_end(machine)
+        while len(self.workers) > MOST_WORKERS:
+            self.workers.popitem(last=False)
+        if detour.served_until is not None and now < detour.served_until:
+            return True
+        if detour.sent_at is not None and now - detour.sent_at <= self.lease:
+            detour.sent_at = None
+            detour.served_until = now + detour.period
+            detour.period = min(detour.period * 2, SERVED_MOST)
+            return True
+        if not lost:
+            detour.sent_at = now
+        return lost
+
+
+class Passing:
+    """Sends reports to the leader in batches, and brings each its answer."""
+
+    def __init__(self, send: Send) -> None:
+        self.send = send
+        self.waiting: dict[str, list[tuple[bytes, asyncio.Future[bytes | None]]]] = {}
+        self.going: set[asyncio.Task[None]] = set()
+
+    async def ask(self, leader: str, report: bytes) -> bytes | None:
+        """The leader's answer to a report; None: it gave none."""
+        if len(report) > MOST_BYTES:
+            return None
+        answer: asyncio.Future[bytes | None] = asyncio.get_running_loop().create_future()
+        batch = self.waiting.get(leader)
+        if batch is None:
+            self.waiting[leader] = [(report, answer)]
+            # A task of its own: the one that came first must not take the others along.
+            going = asyncio.get_running_loop().create_task(self._gather(leader))
+            self.going.add(going)
+            going.add_done_callback(self.going.discard)
+        else:
+            batch.append((report, answer))
+        return await answer
+
+    async def _gather(self, leader: str) -> None:
+        await asyncio.sleep(GATHER.total_seconds())
+        await self._go(leader, self.waiting.pop(leader, []))
+
+    async def _go(
+        self, leader: str, batch: list[tuple[bytes, asyncio.Future[bytes | None]]]
+    ) -> None:
+        """Send a batch, in parts that a peer takes."""
+        parts: list[list[tuple[bytes, asyncio.Future[bytes | None]]]] = [[]]
+        size = 0
+        for item in batch:
+            size += len(item[0]) + 8
+            if size > MOST_BYTES and parts[-1]:
+                parts.append([])
+                size = len(item[0])
+            parts[-1].append(item)
+        await asyncio.gather(*(self._part(leader, part) for part in parts if part))
+
+    async def _part(
+        self, leader: str, part: list[tuple[bytes, asyncio.Future[bytes | None]]]
+    ) -> None:
+        answers: list[bytes | None] | None = None
+        try:
+            answers = await self.send(leader, [report for report, _ in part])
+        finally:
+            if answers is None or len(answers) != len(part):
+                answers = [None] * len(part)
+            for (_, waiter), answer in zip(part, answers, strict=True):
+                if not waiter.done():
+                    waiter.set_result(answer)
--- /dev/null
+++ b/dappledrum/reach/service.py
@@ -0,0 +1,359 @@
+"""What one controller knows of the links, told, heard and acted upon.
+
+Words go out when something has changed, and otherwise about once a second; a peer that has just
+told its own needs no question, so at rest each pair talks once a second. Nothing is probed over
+which something flows.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from datetime import timedelta
+
+from dappledrum.clock import ZERO, Clock
+from dappledrum.leadership.elector import Elector
+from dappledrum.patience import Pulse
+from dappledrum.peers.client import Peers
+from dappledrum.reach.choose import (
+    WORTH,
+    Claim,
+    Situation,
+    claims,
+    deference,
+    late,
+    successor,
+    who_leads,
+)
+from dappledrum.reach.links import Link, Zone
+from dappledrum.reach.messages import Word, Words, WordsReply
+from dappledrum.reach.passing import Detours, Passing
+from dappledrum.reach.table import Table, ms, span
+from dappledrum.settings import WorkerLimits
+
+log = logging.getLogger(__name__)
+
+EVERY = timedelta(seconds=1)
+QUIET = timedelta(milliseconds=850)  # a peer that told this lately need not be asked
+ASK_TIME = timedelta(milliseconds=900)
+PASS_TIME = timedelta(seconds=3.2)  # the worker gives up after 4 s
+LOOK = timedelta(milliseconds=250)
+PROBE_TIME = timedelta(seconds=1)
+PROBE_EVERY = timedelta(seconds=4)  # while all is well
+PROBE_SOON = timedelta(milliseconds=700)  # while the leader hears nothing from a zone
+CLOUD_EVERY = timedelta(seconds=5)
+SLACK = timedelta(milliseconds=750)
+SILENCE_LEAST = timedelta(seconds=1.5)
+#: A worker gives a controller up after 4 s, and turns to the next a second later.
+SEARCH = timedelta(seconds=6)
+SAMPLES = 2
+MOST_ZONES = 16
+
+Probe = Callable[[str, timedelta], Awaitable[bool]]
+
+
+class Reach:
+    """Loops and answers; one for each controller."""
+
+    def __init__(
+        self,
+        member: str,
+        clock: Clock,
+        rng: random.Random,
+        peers: Peers,
+        elector: Elector,
+        limits: WorkerLimits,
+        pulse: Pulse,
+        state: Link,
+        cloud: Link,
+        reporting: Callable[[], Mapping[str, int]],
+        probe: Probe,
+        ask_state: Callable[[], Awaitable[None]],
+        ask_cloud: Callable[[], Awaitable[None]],
+        hand_over: Callable[[str, str], Awaitable[None]],
+    ) -> None:
+        self.member = member
+        self.clock = clock
+        self.rng = rng
+        self.peers = peers
+        self.elector = elector
+        self.limits = limits
+        self.pulse = pulse
+        self.state = state
+        self.cloud = cloud
+        self.speaks: set[str] = set()  # peers of a version that knows words
+        self.reporting = reporting  # machines that should be heard of, by zone
+        self.probe = probe
+        self.ask_state = ask_state
+        self.ask_cloud = ask_cloud
+        self.hand_over = hand_over
+        self.table = Table(member, peers.callers)
+        self.zones: dict[str, Zone] = {}
+        self.detours = Detours(clock, limits.lease)
+        self.passing = Passing(self._pass)
+        self.began = clock.now()
+        self.born = int(clock.today().timestamp() * 1000)
+        self.silent: dict[str, timedelta] = {}
+        self._news: dict[str, asyncio.Event] = {peer: asyncio.Event() for peer in peers.callers}
+
+    async def run(self) -> None:
+        """Everything that goes on by itself."""
+        await asyncio.gather(
+            *(self._guard(lambda peer=peer: self._talk(peer)) for peer in self.peers.callers),
+            self._guard(self._look),
+            self._guard(self._probe_state),
+            self._guard(self._probe_workers),
+            self._guard(self._probe_cloud),
+        )
+
+    async def _guard(self, loop: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await loop()
+            except Exception:
+                log.exception("a loop about links failed, going on")
+                await asyncio.sleep(1)
+
+    def zone(self, name: str) -> Zone:
+        """A zone, new or known."""
+        if name not in self.zones:
+            while len(self.zones) >= MOST_ZONES:
+                self.zones.pop(next(iter(self.zones)))
+            self.zones[name] = Zone()
+        return self.zones[name]
+
+    # words
+
+    def own(self) -> Word:
+        """What this controller knows of its links now."""
+        now = self.clock.now()
+        term = self.elector.holding()
+        leader = self.elector.leader
+        state, cloud = self.state.cost(), self.cloud.cost()
+        word = Word(
+            self.member,
+            self.born,
+            ms(now - self.began),
+            0,
+            ms(now - self.pulse.awake_since()),
+            epoch=max(self.elector.epoch, term.epoch if term is not None else 0),
+            leader=leader.member if leader is not None else None,
+            holds=term is not None,
+            state_ms=None if state is None else ms(state),
+            served_ms=None if self.state.served_at is None else ms(now - self.state.served_at),
+            cloud_ms=None if cloud is None else ms(cloud),
+            heard_ms={n: ms(now - at) for n, z in self.zones.items() if (at := z.heard_at)},
+            probed_ms={n: ms(now - at) for n, z in self.zones.items() if (at := z.reached_at)},
+            lost=sorted(self._apart() if term is not None else self._unreached()),
+        )
+        if term is not None:
+            word.samples = {
+                name: self.rng.sample(list(zone.addresses), min(SAMPLES, len(zone.addresses)))
+                for name, zone in self.zones.items()
+            }
+        return word
+
+    def _unreached(self) -> list[str]:
+        return [name for name, zone in self.zones.items() if zone.lost()]
+
+    def _apart(self) -> dict[str, timedelta]:
+        """Silent zones whose workers do not answer a probe either."""
+        return {n: at for n, at in self.silent.items() if self.zone(n).apart_since(at)}
+
+    def hear(self, words: Words | WordsReply) -> None:
+        """Words of a peer."""
+        now = self.clock.now()
+        self.table.note(words.own, now, direct=True)
+        for word in words.heard[: len(self.table.members)]:
+            self.table.note(word, now, direct=False)
+
+    def answer(self, words: Words) -> WordsReply:
+        """A peer tells its words, and gets ours; it speaks them, whatever its version was."""
+        if words.own.member in self.table.members:
+            self.speaks.add(words.own.member)
+        self.hear(words)
+        return WordsReply(self.own(), self.table.to_hand_on(self.clock.now()))
+
+    def tell(self) -> None:
+        """Something has changed that others should know at once."""
+        for event in self._news.values():
+            event.set()
+
+    async def _talk(self, peer: str) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(EVERY.total_seconds() * self.rng.uniform(0.9, 1.1)):
+                    await self._news[peer].wait()
+            except TimeoutError:
+                if self.table.talks(peer, self.clock.now(), QUIET):
+                    continue
+            self._news[peer].clear()
+            if peer not in self.speaks:
+                continue
+            words = Words(self.own(), self.table.to_hand_on(self.clock.now()))
+            reply = await self.peers.words(peer, words, ASK_TIME)
+            if reply is not None:
+                self.hear(reply)
+
+    # probes, where nothing flows
+
+    async def _probe_state(self) -> None:
+        while True:
+            await asyncio.sleep(EVERY.total_seconds() * self.rng.uniform(0.9, 1.1))
+            if self.state.quiet_for(EVERY):
+                await self.ask_state()
+
+    async def _probe_workers(self) -> None:
+        """Followers ask a worker now and then, all zones while the leader hears nothing from one;
+        the leader asks those zones itself, to know whether it is cut off or they are."""
+        last = ZERO
+        while True:
+            await asyncio.sleep(PROBE_SOON.total_seconds() * self.rng.uniform(0.9, 1.1))
+            words = self._words()
+            hurried = bool(self.silent) or any(w.holds and w.lost for w in words)
+            now = self.clock.now()
+            if not hurried and now - last < PROBE_EVERY:
+                continue
+            last = now
+            for word in words:
+                for name, addresses in word.samples.items() if word.holds else ():
+                    known = self.zone(name).addresses
+                    known.extend(a for a in addresses if a not in known)
+            asked = self._to_ask(self.elector.holding() is not None)
+            await asyncio.gather(*(self._ask(name) for name in asked[: None if hurried else 1]))
+
+    def _to_ask(self, leads: bool) -> list[str]:
+        """Zones of which nothing has come lately, the one not asked for longest first."""
+        now = self.clock.now()
+        names = [
+            name
+            for name, zone in self.zones.items()
+            if zone.addresses
+            and (name in self.silent or not leads)
+            and (zone.last is None or now - zone.last > PROBE_SOON / 2)
+        ]
+        return sorted(names, key=lambda name: self.zones[name].probed_at or ZERO)[:MOST_ZONES]
+
+    async def _ask(self, name: str) -> None:
+        zone = self.zones[name]
+        sent = zone.probed_at = self.clock.now()
+        answered = await self.probe(self.rng.choice(list(zone.addresses)), PROBE_TIME)
+        zone.probed(sent, self.clock.now(), answered)
+
+    async def _probe_cloud(self) -> None:
+        """Calls are few, so only while the leader gets no answer; it uses none of them then."""
+        while True:
+            await asyncio.sleep(CLOUD_EVERY.total_seconds() * self.rng.uniform(0.9, 1.1))
+            if any(w.holds and span(w.cloud_ms or 0) > CLOUD_EVERY for w in self._words()):
+                await self.ask_cloud()
+
+    # conclusions
+
+    def _words(self) -> list[Word]:
+        return self.table.fresh(self.clock.now())
+
+    def conductor(self) -> str | None:
+        """The controller to which workers should go; None: not known."""
+        now = self.clock.now()
+        leader = self.elector.leader
+        cost = self.state.cost()
+        own = Claim(
+            self.elector.epoch,
+            leader.member if leader is not None else None,
+            now,
+            cost is not None and cost <= WORTH,
+        )
+        words = {word.member: word for word in self._words()}
+        return who_leads(claims((self.table.known[name] for name in words), own), words)
+
+    def served_peers(self) -> list[str]:
+        """Peers that the state service serves, the quickest first."""
+        now = self.clock.now()
+        able = [w for w in self._words() if not late(w) and self.table.talks(w.member, now)]
+        return [word.member for word in sorted(able, key=lambda w: w.state_ms or 0)]
+
+    def deference(self) -> timedelta:
+        """How long to let others stand first."""
+        now = self.clock.now()
+        return deference(self.own(), [w for w in self._words() if self.table.talks(w.member, now)])
+
+    async def pass_on(self, machine: str, zone: str, leader: str, report: bytes) -> bytes | None:
+        """The leader's answer to a worker that does not reach it; None: the worker should go
+        there itself, or the leader gives none."""
+        now = self.clock.now()
+        word = self.table.word(leader, now)
+        if word is None or not self.table.talks(leader, now):
+            return None
+        if not self.detours.needed(machine, leader, zone in word.lost):
+            return None
+        return await self.passing.ask(leader, report)
+
+    async def _pass(self, leader: str, reports: list[bytes]) -> list[bytes | None] | None:
+        return await self.peers.passed(leader, reports, PASS_TIME)
+
+    async def _look(self) -> None:
+        """As leader: see which zones have fallen silent, and whether another had better lead."""
+        told: set[str] = set()
+        while True:
+            await asyncio.sleep(LOOK.total_seconds())
+            term = self.elector.holding()
+            if term is None:
+                self.silent = {}
+                told = set()
+                continue
+            self.silent = self._fallen_silent(term.began)
+            apart = set(self._apart())
+            if apart != told:
+                if apart - told:
+                    log.warning("cut off from workers of %s", ", ".join(sorted(apart)))
+                told = apart
+                self.tell()
+            if not self.elector.may_move():
+                continue
+            target = successor(self._situation(), self.table, self.speaks)
+            if target is not None:
+                await self.hand_over(*target)
+
+    def _fallen_silent(self, began: timedelta) -> dict[str, timedelta]:
+        """Zones with machines that should report, of which none has for longer than any of them
+        may take; what this controller itself has slept through does not count."""
+        now = self.clock.now()
+        since = max(began, self.pulse.awake_since())
+        if now - since <= SILENCE_LEAST:
+            return {}
+        result = {}
+        for name, machines in self.reporting().items():
+            at = max(self.zone(name).heard_at or ZERO, since)
+            if now - at > self._gap(machines):
+                result[name] = at
+        return result
+
+    def _gap(self, machines: int) -> timedelta:
+        """The longest that nothing may be heard of so many: none of them is ever later than a
+        quarter more than usual, and of many that come at random moments some come much sooner
+        (all of them later than this: once in e^-12 of the times)."""
+        many = self.limits.report * 12 / machines
+        return min(self.limits.report * 1.25 + SLACK, max(many, SILENCE_LEAST))
+
+    def _situation(self) -> Situation:
+        now = self.clock.now()
+        search = self.limits.report * 1.25 + SLACK + SEARCH
+        apart = self._apart()
+        mute = {n: at for n, at in self.silent.items() if n not in apart and now - at > search}
+        heard = frozenset(
+            name
+            for name, zone in self.zones.items()
+            if name not in self.silent
+            and zone.heard_at is not None
+            and now - zone.heard_at <= self.limits.lease
+        )
+        return Situation(
+            now,
+            self.state.cost() or ZERO,
+            self.state.waiting_since,
+            self.cloud.cost() or ZERO,
+            self.cloud.waiting_since,
+            apart,
+            mute,
+            heard,
+        )
--- a/dappledrum/reach/test_cuts.py
+++ b/dappledrum/reach/test_cuts.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 
@@ -19,6 +21,18 @@
     return world
 
 
+def sessions(world):
+    """The sessions of all workers: one that has lost its lease is in a later one."""
+    return {worker.name: worker.session for worker in world.cloud.workers()}
+
+
+async def nothing_lost(world, seconds):
+    before = sessions(world)
+    await world.wait(seconds)
+    lost = [name for name, session in sessions(world).items() if session > before.get(name, 1)]
+    assert lost == []
+
+
 def test_who_is_not_served_names_no_former_leader():
     """Four that the state service did not serve once named the former leader to every worker."""
 
@@ -42,3 +56,28 @@
             assert json.loads(reply.body).get("conductor") != leader
 
     run(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("mode", ["hold", "refuse", "503"])
+def test_four_of_five_lose_the_state_service(mode, seed):
+    """The four once named the former leader to every worker, which went round between them until
+    its lease was over, while the fifth led and reached everything."""
+
+    async def main():
+        world = await busy_world(seed=seed)
+        leader = world.leader()
+        fifth = FIVE[(FIVE.index(leader) + 3) % 5]
+        for member in FIVE:
+            if member == fifth:
+                continue
+            if mode == "hold":
+                world.cut_off(member, "state")
+            elif mode == "refuse":
+                world.network.refusing.add(frozenset((member, "state")))
+            else:
+                world.state.refused.add(member)
+        await nothing_lost(world, 30)
+        assert world.leader() == fifth
+
+    run(main())
--- a/dappledrum/standins/fleet.py
+++ b/dappledrum/standins/fleet.py
@@ -69,6 +69,10 @@
         rng: random.Random,
     ) -> None:
         self.name, self.kind, self.size = name, kind, size
+        number = int(name.rpartition("-")[2])
+        self.address = f"10.1.{number // 250}.{number % 250}:9000"
+        network.services[name] = self._inspect
+        network.addresses[self.address] = name
         self.network, self.rules, self.timing, self.nodes, self.rng = (
             network,
             rules,
@@ -96,8 +100,16 @@
         """Virtual time."""
         return asyncio.get_running_loop().time()
 
+    async def _inspect(self, source: str, method: str, path: str, body: bytes) -> Reply:
+        """What answers at its address; only probes are known here."""
+        while self.hung:
+            await asyncio.sleep(0.1)
+        self.sequence += 1
+        return reply(200, {"drum": self.name, "set": self.session, "tick": self.sequence})
+
     def vanish(self) -> None:
         """The machine is gone."""
+        self.network.services.pop(self.name, None)
         for task in self.tasks:
             task.cancel()
         self._kill_all()
@@ -147,7 +159,7 @@
         recall = None if self.recall_at is None else max(0.0, self.recall_at - sent)
         body = {
             "drum": self.name,
-            "endpoint": "10.1.0.1:9000",
+            "endpoint": self.address,
             "build": self.kind[0],
             "hall": self.kind[1],
             "loaners": self.kind[2],
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -22,6 +22,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.services: dict[str, Service] = {}
+        self.addresses: dict[str, str] = {}  # hosts that are asked by address
         self.cuts: set[frozenset[str]] = set()
         self.deaf: set[frozenset[str]] = set()  # requests arrive, answers are lost
         self.refusing: set[frozenset[str]] = set()  # connections are refused or reset
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -128,6 +129,7 @@
     lease_s: float = 9.0
     rps: float = 200.0
     next: NextLimits | None = None
+    reach: bool = True
     old: set[str] = field(default_factory=set)  # controllers that run the version before chains
     rng: random.Random = field(init=False)
     nodes: dict[str, Node] = field(default_factory=dict)
@@ -181,12 +183,13 @@
         }
         node = Node(
             settings,
-            Tuning(),
+            Tuning(reach=self.reach),
             clock,
             random.Random(self.rng.random()),
             self._state_caller(member),
             self.network.caller(member, "cloud"),
             dict(callers),
+            partial(self._probe, member),
         )
         self.nodes[member] = node
         context = contextvars.copy_context()
@@ -196,6 +199,13 @@
         self.network.services[member] = self._service(node.serve, context)
         self.network.services["back-" + member] = self._service(self._peer(node, member), context)
 
+    async def _probe(self, member: str, address: str, timeout: timedelta) -> bool:
+        link = self.network.caller(member, self.network.addresses[address])
+        try:
+            return (await link.request("GET", "/inspect", None, timeout)).status == 200
+        except NoResponseError:
+            return False
+
     def _params(self, member: str) -> Params:
         """What a controller makes of the settings: an old one knows nothing of later limits."""
         if member not in self.old:
@@ -210,7 +220,8 @@
             return node.serve_peer
 
         async def refuse(request: Request) -> Response:
-            if b"version" in request.body or b"holding" in request.body:
+            news = (b"version", b"holding", b"reach", b"passed", b"hand_over")
+            if any(kind in request.body for kind in news):
                 return Response(400)
             return await node.serve_peer(request)
 
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -16,6 +16,7 @@
 
 from dappledrum.clock import ZERO, Clock
 from dappledrum.http.client import Caller, NoResponseError, NotSentError, Reply
+from dappledrum.reach.links import Link
 from dappledrum.settings import StateLimits
 from dappledrum.state.budget import Budget, Rank
 from dappledrum.state.messages import (
@@ -92,6 +93,7 @@
         self.failing_since: timedelta | None = None
         self.last_hung = False
         self.reached = False  # served at least once
+        self.link = Link(clock)
         self.trouble = Trouble(log, clock, "the state service does not serve this controller")
 
     def troubled(self) -> bool:
@@ -139,6 +141,9 @@
         self.requests.take(1, now)
         if writes:
             self.writes.take(writes, now)
+        # A watch is open for long, also in an outage, so it tells nothing of the link.
+        watching = path.startswith("/watch")
+        sent = now if watching else self.link.sent()
         try:
             reply = await self.caller.request(method, path, body, timeout)
         except NotSentError as error:
@@ -151,10 +156,13 @@
             self._back_off(reply.status)
             if reply.status == 503:
                 self._failed(False, "status 503")
+            elif not watching:
+                self.link.served(sent)
             raise RefusedError(f"status {reply.status}")
         if reply.status >= 500:
             raise UnknownError(f"status {reply.status}")
-        if not path.startswith("/watch"):
+        if not watching:
+            self.link.served(sent)
             # A watch that was open when an outage began may still end in time, so it proves
             # nothing.
             self.backoff = ZERO
--- a/dappledrum/wiring.py
+++ b/dappledrum/wiring.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 import random
+from datetime import timedelta
 
 from dappledrum.clock import Clock
 from dappledrum.dispatch import Tuning
-from dappledrum.http.client import Client
+from dappledrum.http.client import Client, NoResponseError
 from dappledrum.http.server import Server
 from dappledrum.node import Node
 from dappledrum.settings import Settings, split_address
@@ -18,6 +19,16 @@
 )
 
 
+async def _worker_answers(address: str, timeout: timedelta) -> bool:
+    """Whether a worker answers at the address that it has told."""
+    try:
+        client = Client(*split_address(address), max_idle=0)
+        return (await client.request("GET", "/inspect", None, timeout)).status == 200
+    except NoResponseError as error:
+        log.debug("no answer from the worker at %s: %s", address, error)
+        return False
+
+
 async def run_node(settings: Settings, tuning: Tuning) -> None:
     """Listen, then run until the process is killed."""
     most = settings.params.machine_limits.max_sockets
@@ -30,6 +41,7 @@
         Client(*split_address(settings.external.state), max_idle=8),
         Client(*split_address(settings.external.cloud), max_idle=2),
         dict(peers),
+        _worker_answers,
     )
     reserve = min(OWN_SOCKETS, most // 3)
     public = Server(node.serve, max(8, most - 2 * reserve))
