Leaders go on for the promises of a majority; candidates ask before silence is a proof

Change: a majority is enough for a bounded time (cancel_s less the lease less 5 s from the newest renewal) if all peers are known to speak 0.5.0; a candidate asks a majority whether it holds to a promise, and one that reaches none leads all the same, but takes silence for no proof until a majority has told, or every promise has lapsed.

Found by the model's reading: a leader that hands over must say whether it was clear itself.

--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -103,6 +103,7 @@
             self.recorder.mark,
             self.wake,
             self.ledger,
+            lambda: term.clear_at,
         )
         self.keeper = Keeper(
             cloud,
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -22,7 +22,10 @@
     LeaderRecord,
     PromiseReply,
     PromiseRequest,
+    Standing,
+    StandingReply,
 )
+from dappledrum.leadership.witness import PROMISE, Witness
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import (
     CompactedError,
@@ -39,7 +42,6 @@
 LEADER = "leader"
 EPOCH = "epoch"
 MARGIN = timedelta(milliseconds=100)
-PROMISE = timedelta(seconds=2)
 #: How long a leader waits for its successor to say that it leads, before it ends its own lease.
 GIVING = timedelta(seconds=1.5)
 #: The bound on handing over, whatever the links do: not in the first moments of a term, and this
@@ -48,7 +50,21 @@
 MOVES = 3
 MOVES_IN = timedelta(seconds=60)
 
-Asker = Callable[[PromiseRequest, timedelta], Awaitable[bool]]
+STANDING = timedelta(milliseconds=400)  # the most that a candidate waits for a majority's answers
+CLEAR_PAUSE = timedelta(milliseconds=500)
+
+
+class Answers(NamedTuple):
+    """What became of a question to all peers."""
+
+    yes: int
+    asked: int
+    strong: int = 0  # of the promises, those that count for a majority
+    old: bool = False  # some peer is of a version that does not know the question
+
+
+Asker = Callable[[PromiseRequest, timedelta], Awaitable[Answers]]
+StandingAsker = Callable[[Standing, timedelta], Awaitable[Answers]]
 Giver = Callable[[str, HandOver, timedelta], Awaitable[bool]]
 
 
@@ -61,7 +77,10 @@
         self.version = version
         self.lease = lease
         self.valid_until = ZERO  # by the lease
-        self.promised_until = ZERO  # by the promise of all peers
+        self.promised_until = ZERO  # by the promise of peers
+        self.renewed_at = began  # when the newest renewal that was answered was sent
+        #: From here on nobody else can have answered a worker; None: not known yet.
+        self.clear_at: timedelta | None = None
         self.over = asyncio.Event()
         self.successor: str | None = None  # to whom it is handed over
 
@@ -94,7 +113,9 @@
         rng: random.Random,
         life: timedelta,
         ask_peers: Asker,
-        give: Giver | None = None,
+        ask_standing: StandingAsker,
+        give: Giver,
+        alone_most: timedelta,
     ) -> None:
         self.member = member
         self.state = state
@@ -102,16 +123,18 @@
         self.rng = rng
         self.life = life
         self.ask_peers = ask_peers
+        self.ask_standing = ask_standing
         self.give = give
+        #: How long a leader goes on, from its newest renewal, when a majority promises but not
+        #: all: somebody may be served meanwhile, and tell a user that a job is cancelled.
+        self.alone_most = alone_most
+        #: Whether all peers are known to ask before they stand; else all have to promise.
+        self.all_ask: Callable[[], bool] = lambda: False
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self.on_change: Callable[[], None] = lambda: None
-        self.stand_after = clock.now()  # what this process has promised
-        # An earlier process of this member may have promised something that this one does not know
-        # of.
-        self.unknown_until = clock.now() + longer(PROMISE)
+        self.witness = Witness(clock.now())
         self.avoid_until = ZERO
-        self.tried_epoch: int | None = None
         self.epoch = 0  # the highest that was heard of
         self.moves: list[timedelta] = []  # when leadership was handed over, as far as known
         #: How long this controller lets a better one stand first; asked once for each vacancy.
@@ -141,9 +164,9 @@
         A promise of an earlier process can only serve a term that has been held without a break
         since before that, so none is left that rests on one, and there is nothing to wait for.
         """
-        if self.unknown_until > self.clock.now():
+        if self.witness.unknown_until > self.clock.now():
             log.info("nobody relies on a promise from before, standing at once")
-            self.unknown_until = self.clock.now()
+            self.witness.unknown_until = self.clock.now()
 
     def resign(self, why: str, avoid: timedelta) -> None:
         """Give leadership up and don't stand again for a while."""
@@ -263,7 +286,7 @@
 
     async def _may_stand(self) -> bool:
         now = self.clock.now()
-        wait = max(self.stand_after, self.unknown_until, self.avoid_until) - now
+        wait = max(self.witness.free_at(), self.avoid_until) - now
         if wait > ZERO:
             await asyncio.sleep(min(wait, timedelta(seconds=0.5)).total_seconds())
             return False
@@ -284,12 +307,16 @@
         if offer is not None and offer.request.epoch != epoch:
             return
         lease = await self.state.open_lease(self.life)
-        # A promise was given while we were reading. One whose place is offered needs none any
-        # more, and while its key stands nobody else can hold a term on promises (docs/reach.md).
-        if offer is None and max(self.stand_after, self.unknown_until) > self.clock.now():
-            await self._drop(lease)
-            return
-        self.tried_epoch = epoch
+        # Whoever offers its place and knew that it alone could answer is the only one that can
+        # have answered anybody; its key stands, so whom this controller has promised has lapsed.
+        if offer is not None and offer.request.clear:
+            clear: timedelta | None = self.clock.now()
+        else:
+            clear = await self._whether_clear(epoch + 1)
+            if self.witness.free_at() > self.clock.now():
+                await self._drop(lease)  # a promise was given while we were reading
+                return
+        self.witness.tried = epoch
         sent = self.clock.now()
         replaced = offer.request.version if offer is not None else 0
         guards = [Guard(LEADER, replaced), Guard(EPOCH, entry.version if entry is not None else 0)]
@@ -308,6 +335,7 @@
             raise
         # The lease was opened before the transaction, so only a renewal tells how long it lasts.
         term = Term(epoch + 1, version, lease, self.clock.now())
+        term.clear_at = clear
         try:
             await self._renew(term)
         except StateError:
@@ -326,18 +354,21 @@
                 self.clock.now() - timedelta(milliseconds=m) for m in offer.request.moves_ms
             ]
             offer.settle(True)
+        clearing = asyncio.ensure_future(self._find_clear(term))
         try:
             await self._keep(term)
         finally:
+            clearing.cancel()
             term.over.set()
             self.term = None
             self._learn(None)
             self.on_change()
             log.warning("no longer leading with epoch %d", term.epoch)
-        if term.successor is not None and self.give is not None:
+        if term.successor is not None:
             now = self.clock.now()
             moves = [int((now - at).total_seconds() * 1e3) for at in self.moves]
-            request = HandOver(self.member, term.epoch, version, [*moves, 0])
+            clear = term.clear_at is not None
+            request = HandOver(self.member, term.epoch, version, [*moves, 0], clear)
             leads = await self.give(term.successor, request, GIVING)
             log.info("%s %s", term.successor, "leads" if leads else "does not lead, standing down")
         await self._drop(lease)
@@ -346,6 +377,33 @@
         sent = self.clock.now()
         await self.state.renew_lease(term.lease, self.life / 3)
         term.valid_until = max(term.valid_until, sent + shorter(self.life) - MARGIN)
+        term.renewed_at = max(term.renewed_at, sent)
+
+    async def _whether_clear(self, epoch: int) -> timedelta | None:
+        """The moment from which no former leader can go on for promises, by the word of a
+        majority; None when that many could not tell, or did not say so.
+
+        A peer that does not know the question shows that only the promise of *all* counts, and
+        this controller has given none that stands.
+        """
+        if not self.witness.standing(epoch, self.clock.now(), False).free:
+            return None
+        answers = await self.ask_standing(Standing(self.member, epoch), STANDING)
+        if answers.old or (answers.yes + 1) * 2 > answers.asked + 1:
+            return self.clock.now()
+        return None
+
+    async def _find_clear(self, term: Term) -> None:
+        """Ask on until it is known, or until every promise must have lapsed all the same."""
+        at_last = term.began + longer(self.alone_most + PROMISE)
+        while term.clear_at is None:
+            if self.clock.now() >= at_last:
+                term.clear_at = at_last
+                return
+            await asyncio.sleep(CLEAR_PAUSE.total_seconds())
+            term.clear_at = await self._whether_clear(term.epoch)
+            if term.clear_at is not None:
+                log.info("no former leader answers any more, by the word of a majority")
 
     async def _keep(self, term: Term) -> None:
         """Renew until the lease is lost.
@@ -391,28 +449,28 @@
     async def _ask(self, term: Term) -> None:
         sent = self.clock.now()
         request = PromiseRequest(self.member, term.epoch, int(PROMISE.total_seconds() * 1000))
+        answers = await self.ask_peers(request, self.life / 4)
         # Still entitled when asking and when told: a lapsed term is never taken up again on a
         # promise.
-        if await self.ask_peers(request, self.life / 4) and self.holding() is not None:
-            term.promised_until = sent + shorter(PROMISE) - MARGIN
+        if self.holding() is None:
+            return
+        until = sent + shorter(PROMISE) - MARGIN
+        if answers.yes == answers.asked:
+            term.promised_until = until
+        elif (answers.strong + 1) * 2 > answers.asked + 1 and self.all_ask():
+            until = min(until, term.renewed_at + shorter(self.alone_most))
+            term.promised_until = max(term.promised_until, until)
 
     def promise(self, request: PromiseRequest) -> PromiseReply:
         """Answer a leader that can't reach the state service, and which this controller can't
-        reach either.
-
-        Refused when it leads itself, or when it has stood against this epoch: its transaction may
-        still be applied.
-        """
-        now = self.clock.now()
-        if self.term is not None:
-            return PromiseReply(False, "leading")
-        if self.tried_epoch is not None and self.tried_epoch >= request.epoch:
-            return PromiseReply(False, "stood already")
-        if self.leader is not None and self.leader.epoch > request.epoch:
-            return PromiseReply(False, "newer leader known")
-        until = now + longer(timedelta(milliseconds=min(request.for_ms, 60_000)))
-        self.stand_after = max(self.stand_after, until)
-        return PromiseReply(True)
+        reach either."""
+        known = max(self.epoch, self.leader.epoch if self.leader is not None else 0)
+        return self.witness.promise(request, self.clock.now(), self.term is not None, known)
+
+    def standing(self, question: Standing) -> StandingReply:
+        """Answer a candidate."""
+        leads = self.term is not None and self.term.epoch != question.epoch
+        return self.witness.standing(question.epoch, self.clock.now(), leads)
 
     async def _drop(self, lease: int) -> None:
         try:
--- a/dappledrum/leadership/messages.py
+++ b/dappledrum/leadership/messages.py
@@ -30,24 +30,45 @@
     for_ms: int
 
 
-class PromiseReply(msgspec.Struct):
-    """The peer's answer."""
+class PromiseReply(msgspec.Struct, omit_defaults=True):
+    """The peer's answer.
+
+    A weak promise counts only where all promise, since a candidate may have been told that this
+    controller holds to none.
+    """
 
     granted: bool
     reason: str = ""
+    weak: bool = False
+
+
+class Standing(msgspec.Struct, tag="standing", tag_field="kind"):
+    """A candidate for this epoch asks whether a peer holds to a promise; see witness.py. Known
+    from 0.5.0 on; who refuses it is of a version with which all have to promise."""
+
+    member: str
+    epoch: Count
+
+
+class StandingReply(msgspec.Struct):
+    """Whether it does not, and will not promise anything to a leader of a lower epoch."""
+
+    free: bool
 
 
 class HandOver(msgspec.Struct, tag="hand_over", tag_field="kind"):
     """A leader that has stopped for good names its successor: the key `leader` may be replaced at
     this version, and the epoch raised from this one.
 
-    `moves_ms` tells how long ago leadership was handed over before, for the bound on it.
+    `moves_ms` tells how long ago leadership was handed over before, for the bound on it; `clear`
+    whether the leader knew that none before it could still go on for promises.
     """
 
     member: str
     epoch: Count
     version: Count
     moves_ms: list[Age] = []
+    clear: bool = False
 
 
 class HandOverReply(msgspec.Struct):
--- /dev/null
+++ b/dappledrum/model/promises.py
@@ -0,0 +1,277 @@
+"""Leaders that go on for promises, and candidates that ask before silence is a proof to them.
+
+The peers' part is the real `Witness`; leader and candidate are the plainest that follow the rules
+of docs/reach.md. A schedule is drawn from a seed: messages come late, in any order, or never,
+processes end and begin again without memory, and the state service serves whom it likes. After
+each event: once a leader takes silence for a proof, nobody of a lower epoch answers workers.
+
+`without` leaves out one of the conditions that the argument needs, to see that it does.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from dappledrum.leadership.messages import PromiseRequest
+from dappledrum.leadership.witness import PROMISE, Witness
+
+LIFE = 3.0
+MARGIN = 0.1
+ASKING = 0.75
+PAUSE = 0.25
+STANDING = 1.5  # longer than in the program, so that more fits in between
+ALONE = 6.0  # how long a leader goes on for the promises of a majority that is not all
+PROMISED = PROMISE.total_seconds()
+
+GUARDS = (
+    "candidates ask a majority",
+    "a promise is told to candidates",
+    "free leaves a bar",
+    "one that has just begun promises weakly",
+    "a majority, not half, is needed to go on",
+    "a lapsed term is not taken up again",
+    "going on without all is bounded",
+    "who has promised does not stand",
+    "a successor is told whether it is clear",
+)
+
+
+@dataclass
+class Term:
+    """Of whoever leads, or thinks so."""
+
+    epoch: int
+    valid: float
+    renewed: float
+    began: float
+    promised: float = -1.0
+    clear: float | None = None
+
+
+@dataclass
+class Round:
+    """One question to all peers, and the answers so far: (promised or free, strong)."""
+
+    asker: int
+    process: int  # of the asker: a restarted one knows nothing of it
+    kind: str
+    epoch: int
+    sent: float
+    free: bool = True  # whether the asker itself holds to no promise
+    answers: dict[int, tuple[bool, bool]] = field(default_factory=dict)
+
+
+class Court:
+    """Some controllers, the key `leader`, and time."""
+
+    def __init__(self, members: int, rng: random.Random, without: str | None = None) -> None:
+        self.members = range(members)
+        self.rng = rng
+        self.without = without
+        self.now = 10.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.witness = [Witness(timedelta(0)) for _ in self.members]
+        self.process = [0] * members
+        # Who is served changes rarely; the first leader is not, and the others mostly not.
+        self.served = [False] + [rng.random() < 0.3 for _ in self.members[1:]]
+        self.terms: dict[int, Term] = {0: Term(1, self.now + LIFE - MARGIN, self.now, self.now)}
+        self.key: int | None = 1
+        self.key_end = self.now + LIFE
+        self.epoch = 1
+        self.lost = rng.choice((0.0, 0.2, 0.4, 0.6))
+        self.late = rng.choice((0.05, 0.3, 1.2))
+        self.cut: set[frozenset[int]] = set()
+        for _ in range(rng.choice((0, 10, 40))):
+            self._after(rng.uniform(0, 12), self._cut)
+        for member in self.members:
+            self._after(rng.uniform(0, PAUSE), lambda m=member: self._loop(m))
+        for _ in range(rng.choice((0, 1, 8))):
+            self._after(rng.uniform(0, 15), self._restart)
+        for _ in range(rng.choice((0, 12))):
+            self._after(rng.uniform(0, 15), self._hand_over)
+        for _ in range(rng.choice((1, 4, 15))):
+            self._after(rng.uniform(0, 12), self._serve)
+
+    def _after(self, delay: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay, self.rng.getrandbits(32), event))
+
+    def _has(self, guard: str) -> bool:
+        return self.without != guard
+
+    def step(self) -> None:
+        """The next event."""
+        self.now, _, event = heapq.heappop(self.events)
+        if self.key is not None and self.now > self.key_end:
+            self.key = None
+        event()
+
+    def _clock(self) -> timedelta:
+        return timedelta(seconds=self.now)
+
+    def _serve(self) -> None:
+        self.served[self.rng.choice(self.members)] = self.rng.random() < 0.5
+
+    def _cut(self) -> None:
+        """A link between two goes, or comes back."""
+        self.cut ^= {frozenset(self.rng.sample(self.members, 2))}
+
+    def _restart(self) -> None:
+        member = self.rng.choice(self.members)
+        self.process[member] += 1
+        self.terms.pop(member, None)
+        witness = self.witness[member] = Witness(self._clock())
+        if not self._has("one that has just begun promises weakly"):
+            witness.forgot_until = timedelta(0)
+
+    def holding(self, member: int) -> bool:
+        """Whether a controller answers workers now."""
+        term = self.terms.get(member)
+        return term is not None and self.now < max(term.valid, term.promised)
+
+    def _hand_over(self) -> None:
+        """The leader whose key stands stops, and names a successor that the service serves."""
+        leaders = [m for m, term in self.terms.items() if term.epoch == self.key]
+        able = [m for m in self.members if self.served[m] and m not in self.terms]
+        if not leaders or not able:
+            return
+        before = self.terms.pop(leaders[0])
+        member = self.rng.choice(able)
+        known = before.clear is not None
+        if not known and not self._may_stand(member):
+            return
+        told = known or not self._has("a successor is told whether it is clear")
+        self._lead(member, self.epoch + 1, told)
+
+    def _lead(self, member: int, epoch: int, clear: bool) -> None:
+        self.witness[member].tried = self.epoch
+        self.epoch = self.key = epoch
+        self.key_end = self.now + LIFE
+        term = Term(epoch, self.key_end - MARGIN, self.now, self.now)
+        term.clear = self.now if clear else None
+        self.terms[member] = term
+
+    # what a controller does by itself
+
+    def _loop(self, member: int) -> None:
+        """Renew, or ask for promises; stand, when nobody leads."""
+        self._after(PAUSE, lambda: self._loop(member))
+        term = self.terms.get(member)
+        if term is None:
+            if self.key is None and self.served[member] and self._may_stand(member):
+                self._ask(member, "standing", self.epoch + 1, STANDING)
+        elif not self.holding(member) and self._has("a lapsed term is not taken up again"):
+            del self.terms[member]
+        elif self.served[member] and self.key == term.epoch:
+            self.key_end = self.now + LIFE
+            term.valid, term.renewed = self.now + LIFE - MARGIN, self.now
+        elif not self.served[member]:
+            self._ask(member, "promise", term.epoch, ASKING)
+        if term is not None and term.clear is None:
+            if self.now >= term.began + ALONE + PROMISED:
+                term.clear = self.now
+            else:
+                self._ask(member, "clear", term.epoch, STANDING)
+
+    def _may_stand(self, member: int) -> bool:
+        free = self.witness[member].free_at() <= self._clock()
+        return free or not self._has("who has promised does not stand")
+
+    def _ask(self, member: int, kind: str, epoch: int, limit: float) -> None:
+        one = Round(member, self.process[member], kind, epoch, self.now)
+        if kind != "promise":
+            free = self.witness[member].standing(epoch, self._clock(), False).free
+            one.free = free or not self._has("who has promised does not stand")
+        for peer in self.members:
+            if peer != member and self.rng.random() >= self.lost:
+                self._after(self.rng.uniform(0, self.late), lambda p=peer: self._arrive(one, p))
+        self._after(limit * self.rng.choice((0.3, 0.6, 1)), lambda: self._gather(one))
+
+    # what becomes of it
+
+    def _arrive(self, one: Round, peer: int) -> None:
+        witness = self.witness[peer]
+        if frozenset((one.asker, peer)) in self.cut:
+            return
+        if one.kind == "promise":
+            if self.served[peer]:
+                return
+            request = PromiseRequest(str(one.asker), one.epoch, int(PROMISED * 1000))
+            reply = witness.promise(request, self._clock(), peer in self.terms, 0)
+            one.answers[peer] = (reply.granted, reply.granted and not reply.weak)
+        elif not self._has("a promise is told to candidates"):
+            one.answers[peer] = (True, True)
+        else:
+            barred = witness.barred
+            free = witness.standing(one.epoch, self._clock(), self.holding(peer)).free
+            if not self._has("free leaves a bar"):
+                witness.barred = barred
+            one.answers[peer] = (free, free)
+
+    def _gather(self, one: Round) -> None:
+        if self.process[one.asker] == one.process:
+            getattr(self, "_gather_" + one.kind)(one)
+
+    def _gather_promise(self, one: Round) -> None:
+        term = self.terms.get(one.asker)
+        if term is None or term.epoch != one.epoch:
+            return
+        if not self.holding(one.asker) and self._has("a lapsed term is not taken up again"):
+            return
+        others = len(self.members) - 1
+        until = one.sent + PROMISED - MARGIN
+        yes = sum(granted for granted, _ in one.answers.values())
+        strong = sum(strong for _, strong in one.answers.values())
+        half = not self._has("a majority, not half, is needed to go on")
+        if yes == others:
+            term.promised = until
+        elif (strong + 1 + half) * 2 > others + 1:
+            if self._has("going on without all is bounded"):
+                until = min(until, term.renewed + ALONE)
+            term.promised = max(term.promised, until)
+
+    def _told(self, one: Round) -> bool:
+        free = sum(free for free, _ in one.answers.values())
+        free += one.free
+        return free * 2 > len(self.members) or not self._has("candidates ask a majority")
+
+    def _gather_standing(self, one: Round) -> None:
+        if self.key is not None or self.epoch + 1 != one.epoch or not self.served[one.asker]:
+            return
+        if not self._may_stand(one.asker):
+            return
+        self._lead(one.asker, one.epoch, self._told(one))
+
+    def _gather_clear(self, one: Round) -> None:
+        term = self.terms.get(one.asker)
+        if term is not None and term.epoch == one.epoch and self._told(one):
+            term.clear = term.clear or self.now
+
+    # the rule
+
+    def broken(self) -> str | None:
+        """What must never be so, if it is."""
+        for member, term in self.terms.items():
+            if term.clear is None or self.now < term.clear:
+                continue
+            for other, former in self.terms.items():
+                if former.epoch < term.epoch and self.holding(other):
+                    return (
+                        f"{other} answers with epoch {former.epoch} at {self.now:.2f}, while"
+                        f" {member} takes silence for a proof since {term.clear:.2f}"
+                    )
+        return None
+
+
+def search(members: int, schedules: int, seconds: float, without: str | None = None) -> str | None:
+    """The first schedule found on which the rule is broken."""
+    for seed in range(schedules):
+        court = Court(members, random.Random(seed), without)
+        end = court.now + seconds
+        while court.now < end:
+            court.step()
+            broken = court.broken()
+            if broken is not None:
+                return f"seed {seed}: {broken}"
+    return None
--- /dev/null
+++ b/dappledrum/model/test_promises.py
@@ -0,0 +1,46 @@
+"""The conditions under which a leader may go on for promises, each left out once."""
+
+from datetime import timedelta
+
+import pytest
+
+from dappledrum.leadership.messages import PromiseRequest
+from dappledrum.leadership.witness import Witness
+from dappledrum.model.promises import GUARDS, search
+
+RARE = ("free leaves a bar", "one that has just begun promises weakly")
+
+
+@pytest.mark.parametrize("members", [3, 5])
+def test_nobody_answers_once_silence_is_taken_for_a_proof(members):
+    assert search(members, 3000, 15) is None
+
+
+@pytest.mark.parametrize("guard", [guard for guard in GUARDS if guard not in RARE])
+def test_each_condition_is_needed(guard):
+    assert search(3, 4000, 15, guard) or search(5, 4000, 15, guard)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+@pytest.mark.parametrize("guarded", [True, False])
+def test_the_two_that_take_a_rare_schedule(guarded, restarted):
+    """Five controllers; the leader's promises pass from A and D to B and D while a candidate asks
+    A and B, in the one order in which it misses them."""
+
+    def at(seconds):
+        return timedelta(seconds=seconds)
+
+    def promise(peer, seconds):
+        return peer.promise(PromiseRequest("leader", 1, 2000), at(seconds), False, 1)
+
+    a, b, d = (Witness(at(-10)) for _ in range(3))
+    assert not promise(a, 0.0).weak and not promise(d, 0.0).weak  # the leader goes on until 1.9
+    assert b.standing(2, at(1.70), False).free
+    if restarted:
+        b = Witness(at(1.74))
+    if not guarded:
+        b.barred, b.forgot_until = 0, at(0)
+    assert not promise(d, 1.80).weak
+    strong = not promise(b, 1.80).weak  # with it, the leader goes on until 3.7
+    assert a.standing(2, at(2.05), False).free  # and the candidate has a majority
+    assert strong is not guarded
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from dappledrum import __version__
-from dappledrum.clock import Clock
+from dappledrum.clock import ZERO, Clock
 from dappledrum.dispatch import Tuning
 from dappledrum.fleet.cloud import Cloud, CloudError
 from dappledrum.fleet.messages import Catalog, MachineType
@@ -20,7 +20,7 @@
 from dappledrum.jobs.record import Job
 from dappledrum.leader import IDLE_MOST, Leader
 from dappledrum.leadership.elector import Elector
-from dappledrum.leadership.messages import HandOver, HandOverReply, PromiseReply
+from dappledrum.leadership.messages import HandOver, HandOverReply, PromiseReply, Standing
 from dappledrum.patience import Pulse
 from dappledrum.peers.client import Peers
 from dappledrum.peers.messages import (
@@ -64,6 +64,9 @@
 HOLDERS_TIME = timedelta(milliseconds=200)
 AVOID = timedelta(seconds=20)
 PASSED_WAIT = timedelta(milliseconds=300)  # a passed report's answer waits for work no longer
+#: What is left of a cancellation's time when a leader that a majority, but not all, have promised
+#: has gone on for as long as it may, and its workers' leases have run out.
+ALONE_MARGIN = timedelta(seconds=5)
 SETTLE = timedelta(milliseconds=500)
 LIFE_MOST = timedelta(seconds=3)
 
@@ -100,7 +103,9 @@
             rng,
             life,
             self.peers.promise,
+            self.peers.standing,
             self.peers.hand_over,
+            max(ZERO, self.params.workers.cancel - self.params.workers.lease - ALONE_MARGIN),
         )
         self.elector.on_change = self._leadership_changed
         self.ceiling = Ceiling(limits)
@@ -127,6 +132,7 @@
         )
         if tuning.reach:
             self.elector.defer = self.reach.deference
+            self.elector.all_ask = lambda: len(self.reach.speaks) == len(self.peers.callers)
         self._term_begun = asyncio.Event()
         self._set_share()
 
@@ -321,7 +327,7 @@
     async def _learn_holders(self) -> None:
         """After a restart, ask whether anybody may still rely on what the process before has
         promised: the wait for it to lapse is most of what a restart of all costs."""
-        while self.elector.unknown_until > self.clock.now():
+        while self.elector.witness.unknown_until > self.clock.now():
             if self.peers.callers and await self.peers.nobody_holds(HOLDERS_TIME):
                 self.elector.nobody_holds()
                 return
@@ -419,7 +425,7 @@
             return Response(HTTPStatus.OK, msgspec.json.encode(commands))
         conductor = self._conductor()
         if conductor is not None and self.tuning.reach:
-            answer = await self.reach.pass_on(report.machine, report.zone, conductor, request.body)
+            answer = await self.reach.pass_on(report, conductor, request.body)
             if answer is not None:
                 return Response(HTTPStatus.OK, answer)
         return Response(
@@ -473,6 +479,8 @@
             return self.reach.answer(question)
         if isinstance(question, Passed):
             return PassedReply(await asyncio.gather(*map(self._passed, question.reports)))
+        if isinstance(question, Standing):
+            return self.elector.standing(question)
         if isinstance(question, HandOver):
             return HandOverReply(await self.elector.take_over(question))
         if isinstance(question, HoldingQuestion):
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -6,11 +6,14 @@
 from typing import Any
 
 from dappledrum.http.client import Caller, NoResponseError
+from dappledrum.leadership.elector import Answers
 from dappledrum.leadership.messages import (
     HandOver,
     HandOverReply,
     PromiseReply,
     PromiseRequest,
+    Standing,
+    StandingReply,
 )
 from dappledrum.peers.messages import (
     HoldingQuestion,
@@ -47,8 +50,8 @@
             log.debug("peer %s gave no usable answer: %s", member, error)
             return None
 
-    async def promise(self, request: PromiseRequest, timeout: timedelta) -> bool:
-        """Whether every other controller promises not to stand.
+    async def promise(self, request: PromiseRequest, timeout: timedelta) -> Answers:
+        """How many of the other controllers promise not to stand.
 
         One that does not answer has not promised.
         """
@@ -61,7 +64,38 @@
             if why and self.refusals.get(member) != why:
                 log.info("no promise from %s: %s", member, why)
             self.refusals[member] = why
-        return all(reply is not None and reply.granted for reply in replies)
+        granted = [reply for reply in replies if reply is not None and reply.granted]
+        strong = sum(not reply.weak for reply in granted)
+        return Answers(len(granted), len(replies), strong)
+
+    async def standing(self, question: Standing, timeout: timedelta) -> Answers:
+        """How many of the others hold to no promise; the answers of a majority are enough."""
+        asked = [
+            asyncio.ensure_future(self._standing(member, question, timeout))
+            for member in self.callers
+        ]
+        yes, old = 0, False
+        try:
+            for done in asyncio.as_completed(asked):
+                free = await done
+                yes, old = yes + (free is True), old or free is None
+                if (yes + 1) * 2 > len(asked) + 1:
+                    break
+        finally:
+            for task in asked:
+                task.cancel()
+        return Answers(yes, len(asked), old=old)
+
+    async def _standing(self, member: str, question: Standing, timeout: timedelta) -> bool | None:
+        """Whether a peer is free; None when it does not know the question."""
+        try:
+            reply = await self.callers[member].request("POST", "/peer", encode(question), timeout)
+            if reply.status == 400:
+                return None
+            return bool(reply.status == 200 and decode(reply.body, StandingReply).free)
+        except (NoResponseError, MalformedError) as error:
+            log.debug("peer %s does not say whether it is free: %s", member, error)
+            return False
 
     async def knocks(self, within: timedelta, timeout: timedelta) -> dict[str, int]:
         """Machines that have tried to report to another controller, and how often they came to the
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -13,6 +13,8 @@
     HandOverReply,
     PromiseReply,
     PromiseRequest,
+    Standing,
+    StandingReply,
 )
 from dappledrum.reach.messages import Passed, PassedReply, Words, WordsReply
 
@@ -72,7 +74,17 @@
     holds: bool
 
 
-Question = Relay | Knocks | Promise | VersionQuestion | HoldingQuestion | Words | Passed | HandOver
+Question = (
+    Relay
+    | Knocks
+    | Promise
+    | VersionQuestion
+    | HoldingQuestion
+    | Words
+    | Passed
+    | HandOver
+    | Standing
+)
 Reply = (
     RelayReply
     | KnocksReply
@@ -82,6 +94,7 @@
     | WordsReply
     | PassedReply
     | HandOverReply
+    | StandingReply
 )
 
 
--- a/dappledrum/reach/messages.py
+++ b/dappledrum/reach/messages.py
@@ -30,10 +30,12 @@
     age_ms: Age
     #: For how long it has not stood still; one that has just woken up judges nobody.
     awake_ms: Age
-    #: The highest epoch it knows of, whose that is, and whether that is itself, entitled.
+    #: The highest epoch it knows of, whose that is, and whether that is itself, entitled,
+    #: and since when.
     epoch: Count = 0
     leader: Text | None = None
     holds: bool = False
+    term_ms: Age = 0
     #: What a request to the state service would take, by what the last ones took and by how long
     #: the oldest without an answer waits; and when it was last served.
     state_ms: Age | None = None
--- a/dappledrum/reach/passing.py
+++ b/dappledrum/reach/passing.py
@@ -23,11 +23,12 @@
 
 
 class Detour:
-    """One worker that came here while another leads."""
+    """One worker that came here while another leads, by that leader's epoch."""
 
-    def __init__(self, leader: str) -> None:
-        self.leader = leader
-        self.sent_at: timedelta | None = None  # to the leader, and not seen since
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.sent = False  # to the leader, which has not answered it since
+        self.helped = False  # one report was passed on, the next one shall go there
         self.served_until: timedelta | None = None
         self.period = SERVED
 
@@ -35,31 +36,43 @@
 class Detours:
     """Which workers were sent to the leader, and have come back."""
 
-    def __init__(self, clock: Clock, lease: timedelta) -> None:
+    def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.lease = lease
         self.workers: OrderedDict[str, Detour] = OrderedDict()
 
-    def needed(self, machine: str, leader: str, lost: bool) -> bool:
-        """Whether a report has to be passed on: its zone is known not to reach the leader, or it
-        was sent there within a lease and is here again, so nobody goes in a ring. Otherwise it is
-        sent there, and that is noted."""
+    def needed(self, machine: str, token: int, epoch: int, lost: bool, late: bool) -> bool:
+        """Whether a report has to be passed on to the leader of this epoch; otherwise the worker
+        is sent there, and that is noted.
+
+        It has to be when its zone is known not to reach the leader (`lost`), when the worker was
+        answered by this leader before and is here now, and when it was sent there and is here
+        again: so nobody goes in a ring. After a while it is sent there once more, since links
+        heal. One that comes only when the leader has led for long (`late`) has a search behind it,
+        and may have no time left for another vain try: it gets a single answer first. A worker
+        that has never been answered has nothing to lose.
+        """
         now = self.clock.now()
         detour = self.workers.get(machine)
-        if detour is None or detour.leader != leader:
-            detour = self.workers[machine] = Detour(leader)
+        if detour is None or detour.epoch != epoch:
+            detour = self.workers[machine] = Detour(epoch)
         self.workers.move_to_end(machine)
         while len(self.workers) > MOST_WORKERS:
             self.workers.popitem(last=False)
-        if detour.served_until is not None and now < detour.served_until:
-            return True
-        if detour.sent_at is not None and now - detour.sent_at <= self.lease:
-            detour.sent_at = None
+        if detour.served_until is not None:
+            if now < detour.served_until:
+                return True
+            detour.served_until = None
+        elif detour.helped:
+            detour.helped = False
+        elif detour.sent or token == epoch:
+            detour.sent = False
             detour.served_until = now + detour.period
             detour.period = min(detour.period * 2, SERVED_MOST)
             return True
-        if not lost:
-            detour.sent_at = now
+        elif late and 0 < token < epoch:
+            detour.helped = True
+            return True
+        detour.sent = not lost
         return lost
 
 
--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -30,6 +30,7 @@
 from dappledrum.reach.passing import Detours, Passing
 from dappledrum.reach.table import Table, ms, span
 from dappledrum.settings import WorkerLimits
+from dappledrum.workers.messages import Report
 
 log = logging.getLogger(__name__)
 
@@ -46,6 +47,8 @@
 SILENCE_LEAST = timedelta(seconds=1.5)
 #: A worker gives a controller up after 4 s, and turns to the next a second later.
 SEARCH = timedelta(seconds=6)
+#: A worker that has not been answered by a leader of so long a term has a search behind it.
+FOUND = timedelta(seconds=3)
 SAMPLES = 2
 MOST_ZONES = 16
 
@@ -89,7 +92,7 @@
         self.hand_over = hand_over
         self.table = Table(member, peers.callers)
         self.zones: dict[str, Zone] = {}
-        self.detours = Detours(clock, limits.lease)
+        self.detours = Detours(clock)
         self.passing = Passing(self._pass)
         self.began = clock.now()
         self.born = int(clock.today().timestamp() * 1000)
@@ -139,6 +142,7 @@
             epoch=max(self.elector.epoch, term.epoch if term is not None else 0),
             leader=leader.member if leader is not None else None,
             holds=term is not None,
+            term_ms=0 if term is None else ms(now - term.began),
             state_ms=None if state is None else ms(state),
             served_ms=None if self.state.served_at is None else ms(now - self.state.served_at),
             cloud_ms=None if cloud is None else ms(cloud),
@@ -277,16 +281,18 @@
         now = self.clock.now()
         return deference(self.own(), [w for w in self._words() if self.table.talks(w.member, now)])
 
-    async def pass_on(self, machine: str, zone: str, leader: str, report: bytes) -> bytes | None:
+    async def pass_on(self, report: Report, leader: str, body: bytes) -> bytes | None:
         """The leader's answer to a worker that does not reach it; None: the worker should go
         there itself, or the leader gives none."""
         now = self.clock.now()
         word = self.table.word(leader, now)
         if word is None or not self.table.talks(leader, now):
             return None
-        if not self.detours.needed(machine, leader, zone in word.lost):
+        term = now - self.table.at(leader) + span(word.term_ms)
+        lost, late = report.zone in word.lost, term > FOUND
+        if not self.detours.needed(report.machine, report.token, word.epoch, lost, late):
             return None
-        return await self.passing.ask(leader, report)
+        return await self.passing.ask(leader, body)
 
     async def _pass(self, leader: str, reports: list[bytes]) -> list[bytes | None] | None:
         return await self.peers.passed(leader, reports, PASS_TIME)
--- a/dappledrum/settings.py
+++ b/dappledrum/settings.py
@@ -71,6 +71,11 @@
         """How long a worker keeps its tasks with no answer."""
         return seconds(self.lease_s)
 
+    @property
+    def cancel(self) -> timedelta:
+        """Within which nothing of a cancelled job may be left."""
+        return seconds(self.cancel_s)
+
 
 Changes = Annotated[int, Meta(ge=4, le=10_000)]
 
--- a/dappledrum/standins/fleet.py
+++ b/dappledrum/standins/fleet.py
@@ -89,6 +89,7 @@
         self.changed = asyncio.Event()
         self.hung = False
         self.renewed = self.now()
+        self.answered = self.now()  # unlike the lease, not begun anew with a session
         self.last_token_change = -1e9
         self.tasks = [
             asyncio.get_running_loop().create_task(x)
@@ -201,6 +202,7 @@
                 self.last_token_change = self.now()
                 self.changed.set()
         self.renewed = max(self.renewed, sent)
+        self.answered = self.now()
         for call in answer["calls"]:
             self._execute(call)
 
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -15,6 +15,11 @@
 ]  # source, method, path, body
 
 
+def host(name: str) -> str:
+    """The machine of an address: controllers have two, for users and workers and for peers."""
+    return name.removeprefix("back-")
+
+
 class Network:
     """Hosts by name; a cut between two of them holds requests back and delivers them when it
     ends."""
@@ -26,6 +31,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.deaf: set[frozenset[str]] = set()  # requests arrive, answers are lost
         self.refusing: set[frozenset[str]] = set()  # connections are refused or reset
+        self.blocked: set[tuple[str, str]] = set()  # one way: from one host to another
+        self.slow: dict[tuple[str, str], float] = {}  # seconds more, one way
         self.held: list[tuple[str, str, str, str, bytes]] = []
         self.late = 0
 
@@ -38,6 +45,8 @@
         self.cuts.clear()
         self.deaf.clear()
         self.refusing.clear()
+        self.blocked.clear()
+        self.slow.clear()
         held, self.held = self.held, []
         for source, target, method, path, body in held:
             self.late += 1
@@ -75,8 +84,10 @@
     async def _request(self, method: str, path: str, body: bytes) -> Reply:
         network = self.network
         pair = frozenset((self.source, self.target))
-        await asyncio.sleep(network.rng.uniform(0.0005, 0.004))
-        if pair in network.cuts:
+        there = (host(self.source), host(self.target))
+        back = (there[1], there[0])
+        await asyncio.sleep(network.rng.uniform(0.0005, 0.004) + network.slow.get(there, 0.0))
+        if pair in network.cuts or there in network.blocked:
             network.held.append((self.source, self.target, method, path, body))
             await asyncio.sleep(3600)
         service = network.services.get(self.target)
@@ -88,8 +99,8 @@
             service(self.source, method, path, body), context=contextvars.Context()
         )
         reply = await asyncio.shield(served)
-        await asyncio.sleep(network.rng.uniform(0.0005, 0.004))
-        if pair in network.cuts or pair in network.deaf:
+        await asyncio.sleep(network.rng.uniform(0.0005, 0.004) + network.slow.get(back, 0.0))
+        if pair in network.cuts or pair in network.deaf or back in network.blocked:
             await asyncio.sleep(3600)
         if self.target not in network.services:
             raise NoResponseError("connection lost")
--- a/dappledrum/test_world.py
+++ b/dappledrum/test_world.py
@@ -509,11 +509,13 @@
         world.kill("drummer-2")
         await world.restart("drummer-0", 1.0)
         assert (
-            world.nodes["drummer-0"].elector.unknown_until > world.nodes["drummer-0"].clock.now()
+            world.nodes["drummer-0"].elector.witness.unknown_until
+            > world.nodes["drummer-0"].clock.now()
         )
         await world.wait(1.5)
         assert (
-            world.nodes["drummer-0"].elector.unknown_until > world.nodes["drummer-0"].clock.now()
+            world.nodes["drummer-0"].elector.witness.unknown_until
+            > world.nodes["drummer-0"].clock.now()
         )
 
     run(main())
@@ -533,8 +535,8 @@
         assert world.nodes[leader].elector.holding() is not None
         await world.restart(other, 0.2)
         await world.wait(1.0)
-        elector = world.nodes[other].elector
-        assert max(elector.unknown_until, elector.stand_after) > world.nodes[other].clock.now()
+        witness = world.nodes[other].elector.witness
+        assert witness.free_at() > world.nodes[other].clock.now()
         world.state.end_outage()
         await world.wait(3)
 
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -10,7 +10,8 @@
 - a report of a newer session;
 - the cloud's word that the machine was returned;
 - silence for longer than a lease, drift included, since the last answer that anyone can have
-  given.
+  given: this leader, or one before it until this one took over, or, if a majority of the
+  controllers could not be asked then, until it has told that it holds to no promise.
 """
 
 import logging
@@ -19,7 +20,7 @@
 
 from dappledrum.accounts.entries import Entry
 from dappledrum.accounts.ledger import Ledger
-from dappledrum.clock import ZERO, Clock
+from dappledrum.clock import ZERO, Clock, longer
 from dappledrum.gangs.whole import keep_whole
 from dappledrum.jobs.messages import Form
 from dappledrum.jobs.record import Job, Page, Placement
@@ -28,7 +29,7 @@
 from dappledrum.settings import WorkerLimits
 from dappledrum.workers.failures import Verdict, failed, judge, suspected
 from dappledrum.workers.messages import Cause, Command, Report, TaskReport, TaskState
-from dappledrum.workers.roster import Machine, Roster
+from dappledrum.workers.roster import GONE_MARGIN, Machine, Roster
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +53,9 @@
         mark: Callable[[Page], None],
         wake: Callable[[str], None],
         ledger: Ledger | None = None,
+        clear_at: Callable[[], timedelta | None] = lambda: ZERO,
     ) -> None:
+        self.clear_at = clear_at  # nobody else has answered since; None: not known
         self.ledger = ledger or Ledger(roster, clock)
         self.jobs = jobs
         self.roster = roster
@@ -342,6 +345,9 @@
         is left of gangs that have lost a part."""
         now = self.clock.now()
         keep_whole(self.jobs.values())
+        clear = self.clear_at()
+        if clear is None or now <= clear + longer(self.limits.lease) + GONE_MARGIN:
+            return
         for machine in self.roster:
             if machine.placements and machine.expired(now, self.limits.lease):
                 for placement in list(machine.placements.values()):
