--- a/dappledrum/reach/test_cuts.py
+++ b/dappledrum/reach/test_cuts.py
@@ -1,9 +1,11 @@
 """Whole controllers while some links are cut and a way is left: served, and nothing lost."""
 
+import asyncio
 import json
 
 import pytest
 
+from dappledrum.leadership.messages import HandOver
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 
@@ -81,3 +83,115 @@
         assert world.leader() == fifth
 
     run(main())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_the_leader_alone_is_cut_off_from_all_workers(seed):
+    """It once needed three reports' time to see it, and its successor was drawn by lot."""
+
+    async def main():
+        world = await busy_world(seed=seed, lease_s=15.0)
+        leader = world.leader()
+        other = FIVE[(FIVE.index(leader) + 2) % 5]
+        for name in world.cloud.machines:
+            world.network.cut(leader, name)
+            world.network.cut(other, name)
+        took = await world.until(lambda: world.leader() not in (None, leader))
+        assert took < 5 and world.leader() != other
+        await nothing_lost(world, 20)
+
+    run(main())
+
+
+def test_only_one_controller_reaches_the_workers_and_another_the_state_service():
+    """Neither can serve alone: reports go through the one to the other."""
+
+    async def main():
+        world = await busy_world(seed=3, lease_s=20.0)
+        leader = world.leader()
+        through = FIVE[(FIVE.index(leader) + 1) % 5]
+        for member in FIVE:
+            if member != leader:
+                world.cut_off(member, "state")
+            if member != through:
+                for name in world.cloud.machines:
+                    world.network.cut(member, name)
+        await nothing_lost(world, 40)
+        assert world.leader() == leader
+        await world.submit(job(50), member=leader)
+        await world.until(lambda: any(j == "j-000050" for j, _ in world.rules.running), 30)
+
+    run(main())
+
+
+def test_links_that_come_and_go_move_leadership_only_so_often():
+    """Each second the state service refuses another half of the controllers."""
+
+    async def main():
+        world = await busy_world(seed=4)
+        epochs = []
+        for second in range(60):
+            refused = [m for n, m in enumerate(FIVE) if (n + second // 2) % 2]
+            world.state.refused = set(refused)
+            await world.wait(1)
+            epochs.append(max(node.elector.epoch for node in world.nodes.values()))
+        assert epochs[-1] - epochs[0] <= 3
+        world.state.refused.clear()
+        await world.wait(3)
+
+    run(main())
+
+
+@pytest.mark.parametrize("when", [0.0, 0.01, 0.03])
+@pytest.mark.parametrize("who", ["leader", "successor"])
+def test_a_handover_in_the_midst_of_which_one_is_cut_off_or_ends(who, when):
+    """Whatever arrives of it, and however late: one leads, and nothing is lost."""
+
+    async def main():
+        world = await busy_world(seed=5)
+        leader = world.leader()
+        successor = FIVE[(FIVE.index(leader) + 1) % 5]
+        world.nodes[leader].elector.hand_over(successor, "a test")
+        await asyncio.sleep(when)
+        gone = leader if who == "leader" else successor
+        others = [m for m in FIVE if m != gone]
+        world.cut_off(gone, "state", *others, *("back-" + m for m in others))
+        await world.until(lambda: world.leader() not in (None, gone), most=12)
+        await nothing_lost(world, 10)
+        world.network.heal()
+        await nothing_lost(world, 10)
+
+    run(main())
+
+
+def test_an_offer_that_comes_late_is_declined():
+    async def main():
+        world = await busy_world(seed=6)
+        leader = world.leader()
+        term = world.nodes[leader].elector.term
+        offer = HandOver(leader, term.epoch, term.version, [], True)
+        await world.restart(leader)
+        await world.until(lambda: world.leader() is not None)
+        now = world.leader()
+        for member in FIVE:
+            if member != now:
+                assert not await world.nodes[member].elector.take_over(offer)
+        assert world.leader() == now
+
+    run(main())
+
+
+def test_peers_of_the_version_before_are_not_spoken_to():
+    """Two of three can't hear words: leadership and work go on as they did."""
+
+    async def main():
+        world = World(seed=7, old={"drummer-1", "drummer-2"})
+        await world.until(lambda: world.leader() is not None)
+        await world.submit(job(1, beats=4, runS=20.0))
+        await world.wait(5)
+        for node in world.nodes.values():
+            assert not node.reach.table.known
+        await world.restart(world.leader())
+        await world.finish(["j-000001"])
+
+    run(main())
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -183,7 +183,7 @@
         }
         node = Node(
             settings,
-            Tuning(reach=self.reach),
+            Tuning(reach=self.reach and member not in self.old),
             clock,
             random.Random(self.rng.random()),
             self._state_caller(member),
