--- a/dappledrum/accounts/ledger.py
+++ b/dappledrum/accounts/ledger.py
@@ -142,12 +142,12 @@
                 lines[entry] += placement.spent
         placement.spent = 0.0
 
-    def tell(self, at_once: bool = False) -> None:
+    def tell(self, at_once: bool = False) -> bool:
         """One line a minute: what was booked since the last one, so that the lines of all leaders
-        add up."""
+        add up; whether it was time for it."""
         now = self.clock.now()
         if not at_once and now - self.told_at < TOLD_EVERY:
-            return
+            return False
         total = sum(self.recent.values())
         if total > 0:
             log.info(
@@ -161,3 +161,4 @@
         self.told_at = now
         self.recent.clear()
         self.ordinary = 0.0
+        return True
--- a/dappledrum/accounts/test_accounts.py
+++ b/dappledrum/accounts/test_accounts.py
@@ -8,6 +8,7 @@
 
 from dappledrum.accounts.entries import Entry, Want, why_idle
 from dappledrum.accounts.ledger import Ledger, shown
+from dappledrum.accounts.served import Served
 from dappledrum.clock import seconds
 from dappledrum.fleet.messages import MachineType
 from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
@@ -109,3 +110,16 @@
     assert why(elsewhere, limited, large, fits) is Entry.KEEPING
     assert shown({Entry.BOOT: 1.0, Entry.KEPT: 3.0}) == "kept 75.0%; boot 25.0%"
     assert shown({}) == "nothing"
+
+
+def test_what_a_team_is_served():
+    served = Served()
+    done, cancelled, started, waiting = (live_job(crew=c) for c in ("b", "b", "b", "a"))
+    cancelled.cancelled = True
+    started.page(0).finish(0)
+    served.ended(done)
+    served.ended(cancelled)
+    assert served.shown([started, waiting]) == (
+        "a: 1 accepted, 0 started, 0 done, 0 cancelled;"
+        " b: 3 accepted, 2 started, 1 done, 1 cancelled"
+    )
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from dappledrum.accounts.ledger import STEP, Ledger
+from dappledrum.accounts.served import Served
 from dappledrum.chains.graph import Graph
 from dappledrum.chains.resolver import Resolver
 from dappledrum.clock import ZERO, Clock
@@ -87,6 +88,7 @@
         self.over: OrderedDict[str, None] = OrderedDict()
         self.roster = Roster()
         self.ledger = Ledger(self.roster, clock)
+        self.served = Served()
         self.estimates = Estimates()
         self.recorder = Recorder(state, term, params.state, ceiling, clock)
         self.recorder.on_ended = self._ended
@@ -326,6 +328,7 @@
             machine = self.roster.get(placement.machine)
             if machine is not None:
                 machine.placements.pop((job.id, placement.task), None)
+        self.served.ended(job)
         self.on_ended(job)
 
     # loops
@@ -365,9 +368,13 @@
                 self.ledger.step(
                     self.keeper.types, self.dispatcher.wants(), self.dispatcher.available()
                 )
-                self.ledger.tell()
+                self._tell()
         finally:
-            self.ledger.tell(at_once=True)
+            self._tell(at_once=True)
+
+    def _tell(self, at_once: bool = False) -> None:
+        if self.ledger.tell(at_once):
+            log.info("served in this term: %s", self.served.shown(self.jobs.values()))
 
     async def _resolve(self) -> None:
         await self.loaded.wait()
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -362,14 +362,20 @@
 
     async def _ready(self, _request: Request) -> Response:
         """Ready once the state service was reached; an outage later on changes nothing, flapping
-        is worse."""
+        is worse. The body says which way there is."""
         if self.state.reached:
-            return Response(HTTPStatus.OK)
+            return Response(HTTPStatus.OK, msgspec.json.encode({"state": self._way()}))
         why = self.state.trouble.why or "no answer yet"
         return refusal(
             HTTPStatus.SERVICE_UNAVAILABLE, f"the state service was not reached yet: {why}"
         )
 
+    def _way(self) -> str:
+        if not self.state.troubled():
+            return "reached"
+        through = self.reach.served_peers()
+        return f"through {through[0]}" if through else "not reached"
+
     async def _for_user(self, request: Request) -> Response:
         """Serve a user here, or through a peer while the state service does not serve this
         controller."""
--- a/dappledrum/reach/test_cuts.py
+++ b/dappledrum/reach/test_cuts.py
@@ -81,6 +81,11 @@
                 world.state.refused.add(member)
         await nothing_lost(world, 30)
         assert world.leader() == fifth
+        for member in FIVE:
+            if member != fifth:
+                assert await world.poll("j-000001", member) == "running"
+                ready = await world._ask("GET", "/ready", None, member)
+                assert json.loads(ready.body) == {"state": f"through {fifth}"}
 
     run(main())
 
