--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -306,6 +306,8 @@
         )
         if offer is not None and offer.request.epoch != epoch:
             return
+        if offer is None and await self.state.get(LEADER, Rank.LEASE) is not None:
+            return  # taken between the look and the epoch: nobody may be asked to stand against it
         lease = await self.state.open_lease(self.life)
         # Whoever offers its place and knew that it alone could answer is the only one that can
         # have answered anybody; its key stands, so whom this controller has promised has lapsed.
--- a/dappledrum/reach/test_outages.py
+++ b/dappledrum/reach/test_outages.py
@@ -7,6 +7,7 @@
 
 from dappledrum.reach.test_cuts import FIVE, busy_world, nothing_lost
 from dappledrum.standins.time import run
+from dappledrum.standins.world import World
 
 
 @pytest.mark.parametrize("how", ["killed", "frozen", "cut"])
@@ -103,3 +104,27 @@
         await world.finish([f"j-{n:06d}" for n in range(3)], most=400)
 
     run(main())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_candidate_that_comes_late_leaves_no_bar_against_the_winner(seed):
+    """It looked for a leader before the winner's transaction and for the epoch after it, and asked
+    all whether it may stand against the winner: their promises to that one counted for nothing in
+    the outage that followed."""
+
+    async def main():
+        world = World(seed=seed, members=FIVE)
+        for _ in range(4):
+            await world.until(lambda: world.leader() is not None)
+            leader = world.leader()
+            # Requests to the state service take long enough for elections to overlap.
+            for member in FIVE:
+                world.network.slow[(member, "state")] = world.rng.uniform(0, 0.1)
+            await world.restart(leader, 5.0)
+            await world.wait(3)
+            for member in FIVE:
+                witness = world.nodes[member].elector.witness
+                epoch = world.nodes[world.leader()].elector.term.epoch
+                assert witness.barred <= epoch and (witness.tried or 0) < epoch
+
+    run(main())
