--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -151,8 +151,8 @@
         return term
 
     def holding(self) -> Term | None:
-        """The running term, if leases may at least be renewed: by the lease, or by the promise of
-        all peers."""
+        """The running term, if leases may at least be renewed: by the lease, or by the promises of
+        peers."""
         term = self.term
         if term is None or term.over.is_set():
             return None
