--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -171,6 +171,7 @@
     def resign(self, why: str, avoid: timedelta) -> None:
         """Give leadership up and don't stand again for a while."""
         self.avoid_until = self.clock.now() + avoid
+        self.moves.append(self.clock.now())
         if self.term is not None:
             log.warning("resigning: %s", why)
             self.term.over.set()
--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -47,6 +47,8 @@
 SILENCE_LEAST = timedelta(seconds=1.5)
 #: A worker gives a controller up after 4 s, and turns to the next a second later.
 SEARCH = timedelta(seconds=6)
+#: Longer than another takes to stand once the key is gone.
+ASIDE = timedelta(seconds=2)
 #: A worker that has not been answered by a leader of so long a term has a search behind it.
 FOUND = timedelta(seconds=3)
 SAMPLES = 2
@@ -316,9 +318,19 @@
                 self.tell()
             if not self.elector.may_move():
                 continue
-            target = successor(self._situation(), self.table, self.speaks)
+            situation = self._situation()
+            target = successor(situation, self.table, self.speaks)
             if target is not None:
                 await self.hand_over(*target)
+            elif self._useless(situation):
+                self.elector.resign("neither workers nor peers reach this controller", ASIDE)
+
+    def _useless(self, ours: Situation) -> bool:
+        """Whether nobody is served by this leader, and nobody can be asked who had better lead:
+        it steps aside for a moment, and leads again if no other does."""
+        if ours.heard or not ours.apart or any(self.table.talks(p, ours.now) for p in self.speaks):
+            return False
+        return all(ours.now - at > SEARCH for at in ours.apart.values())
 
     def _fallen_silent(self, began: timedelta) -> dict[str, timedelta]:
         """Zones with machines that should report, of which none has for longer than any of them
--- a/dappledrum/reach/test_cuts.py
+++ b/dappledrum/reach/test_cuts.py
@@ -108,6 +108,43 @@
     run(main())
 
 
+def test_a_leader_that_neither_workers_nor_peers_reach_steps_aside():
+    """Connections between controllers are refused, so it can ask nobody; it once kept its key
+    until they were no more."""
+
+    async def main():
+        world = await busy_world(seed=2, lease_s=24.0)
+        await world.wait(8)
+        leader = world.leader()
+        for one in FIVE:
+            for two in FIVE:
+                world.network.refusing.add(frozenset((one, "back-" + two)))
+        for name in world.cloud.machines:
+            world.network.refusing.add(frozenset((leader, name)))
+        took = await world.until(lambda: world.leader() not in (None, leader))
+        assert took < 10
+        await nothing_lost(world, 20)
+
+    run(main())
+
+
+def test_the_only_one_left_leads_again_when_it_has_stepped_aside():
+    async def main():
+        world = await busy_world(seed=2, lease_s=24.0)
+        await world.wait(8)
+        leader = world.leader()
+        for member in FIVE:
+            if member != leader:
+                world.kill(member)
+        for name in world.cloud.machines:
+            world.network.cut(leader, name)
+        await world.wait(16)
+        world.network.heal()
+        assert await world.until(lambda: world.leader() == leader) < 4
+
+    run(main())
+
+
 def test_only_one_controller_reaches_the_workers_and_another_the_state_service():
     """Neither can serve alone: reports go through the one to the other."""
 
