--- a/dappledrum/reach/messages.py
+++ b/dappledrum/reach/messages.py
@@ -1,7 +1,7 @@
 """What controllers tell each other of their links. Ages, not times; the order of one controller's
 words is by its own clocks.
 
-A word is small (about 150 bytes in CBOR) and told about once a second to each peer, with the words
+A word is small (about 220 bytes in CBOR) and told about once a second to each peer, with the words
 that came directly from the others, so that two that can't talk still know of each other. Spoken
 from 0.5.0 on; older versions refuse it, and are not asked.
 """
