--- a/dappledrum/reach/test_cuts.py
+++ b/dappledrum/reach/test_cuts.py
@@ -166,6 +166,37 @@
     run(main())
 
 
+def test_a_zone_is_cut_off_with_the_leader_inside():
+    """Inside it goes on as long as it may; outside another leads, and loses none of its own."""
+
+    async def main():
+        world = await busy_world(seed=8, lease_s=15.0)
+        await world.submit(job(60, beats=4, hall="b", runS=200.0, expectedS=200.0, dueS=400.0))
+        await world.until(lambda: len(world.rules.running) == 22)
+        leader = world.leader()
+        inside = [leader, FIVE[(FIVE.index(leader) + 1) % 5]]
+        outside = [m for m in FIVE if m not in inside]
+        apart = {name for name, m in world.cloud.machines.items() if m.kind[1] == "b"}
+        assert apart and len(apart) < len(world.cloud.machines)
+        for member in inside:
+            world.cut_off(member, "state", "cloud", *outside, *("back-" + m for m in outside))
+            for name in set(world.cloud.machines) - apart:
+                world.network.cut(member, name)
+        for name in apart:
+            for member in outside:
+                world.network.cut(member, name)
+        before = sessions(world)
+        took = await world.until(lambda: world.leader() in outside)
+        assert took < 5
+        await world.wait(30)
+        lost = {name for name, session in sessions(world).items() if session > before[name]}
+        assert lost <= apart
+        world.network.heal()
+        await world.wait(10)
+
+    run(main())
+
+
 def test_links_that_come_and_go_move_leadership_only_so_often(caplog):
     """Every two seconds the state service refuses the other half of the controllers: a leader may
     hand over three times a minute, and its lease lasts through the rest."""
