Addresses in words are checked, and a port that there can't be ends no loop

A worker's report may name any five digits as port; probing it failed with an error that the loop logged each second. Test: what a peer tells is checked.

--- a/dappledrum/reach/messages.py
+++ b/dappledrum/reach/messages.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Meta
 
+from dappledrum.settings import Address
+
 Age = Annotated[int, Meta(ge=0, le=10**9)]  # milliseconds
 Count = Annotated[int, Meta(ge=0)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
@@ -48,7 +50,7 @@
     #: Zones that probes do not reach; of a leader those that are silent besides.
     lost: list[Text] = []
     #: Of a leader: some addresses of workers by zone, for probes.
-    samples: dict[Text, list[Text]] = {}
+    samples: dict[Text, list[Address]] = {}
 
 
 class Words(msgspec.Struct, tag="reach", tag_field="kind"):
--- a/dappledrum/reach/test_words.py
+++ b/dappledrum/reach/test_words.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dappledrum.peers.messages import MalformedError, decode, encode
 from dappledrum.reach.choose import (
     Claim,
     Situation,
@@ -15,10 +16,11 @@
     who_leads,
 )
 from dappledrum.reach.links import Link, Zone
-from dappledrum.reach.messages import Word
+from dappledrum.reach.messages import Word, Words
 from dappledrum.reach.passing import SERVED, Detours
 from dappledrum.reach.table import Known, Table
 from dappledrum.standins.time import SkewedClock, run
+from dappledrum.wiring import _worker_answers
 
 
 def at(seconds):
@@ -204,3 +206,12 @@
         assert detours.needed("searching", 6, 6, False, True)
 
     run(main())
+
+
+def test_what_a_peer_tells_is_checked():
+    """A worker may tell a port that there can't be, and a peer anything at all."""
+    assert asyncio.run(_worker_answers("127.0.0.1:99999", at(1))) is False
+    for bad in ({"samples": {"x": ["nowhere"]}}, {"heard_ms": {"x": -1}}, {"epoch": -1}):
+        with pytest.raises(MalformedError):
+            decode(encode(Words(word(**bad))), Words)
+    assert decode(encode(Words(word(epoch=3))), Words).own.epoch == 3
--- a/dappledrum/wiring.py
+++ b/dappledrum/wiring.py
@@ -24,7 +24,7 @@
     try:
         client = Client(*split_address(address), max_idle=0)
         return (await client.request("GET", "/inspect", None, timeout)).status == 200
-    except NoResponseError as error:
+    except (NoResponseError, OverflowError) as error:  # a port may be any five digits
         log.debug("no answer from the worker at %s: %s", address, error)
         return False
 
