--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -63,6 +63,11 @@
     old: bool = False  # some peer is of a version that does not know the question
 
 
+def majority(peers: int, asked: int) -> bool:
+    """Whether so many of the peers that were asked make a majority with the one that asks."""
+    return (peers + 1) * 2 > asked + 1
+
+
 Asker = Callable[[PromiseRequest, timedelta], Awaitable[Answers]]
 StandingAsker = Callable[[Standing, timedelta], Awaitable[Answers]]
 Giver = Callable[[str, HandOver, timedelta], Awaitable[bool]]
@@ -392,7 +397,7 @@
         if not self.witness.standing(epoch, self.clock.now(), False).free:
             return None
         answers = await self.ask_standing(Standing(self.member, epoch), STANDING)
-        if answers.old or (answers.yes + 1) * 2 > answers.asked + 1:
+        if answers.old or majority(answers.yes, answers.asked):
             return self.clock.now()
         return None
 
@@ -460,15 +465,15 @@
         until = sent + shorter(PROMISE) - MARGIN
         if answers.yes == answers.asked:
             term.promised_until = until
-        elif (answers.strong + 1) * 2 > answers.asked + 1 and self.all_ask():
+        elif majority(answers.strong, answers.asked) and self.all_ask():
             until = min(until, term.renewed_at + shorter(self.alone_most))
             term.promised_until = max(term.promised_until, until)
 
     def promise(self, request: PromiseRequest) -> PromiseReply:
         """Answer a leader that can't reach the state service, and which this controller can't
         reach either."""
-        known = max(self.epoch, self.leader.epoch if self.leader is not None else 0)
-        return self.witness.promise(request, self.clock.now(), self.term is not None, known)
+        leads = self.term is not None
+        return self.witness.promise(request, self.clock.now(), leads, self.epoch)
 
     def standing(self, question: Standing) -> StandingReply:
         """Answer a candidate."""
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from dappledrum.http.client import Caller, NoResponseError
-from dappledrum.leadership.elector import Answers
+from dappledrum.leadership.elector import Answers, majority
 from dappledrum.leadership.messages import (
     HandOver,
     HandOverReply,
@@ -79,7 +79,7 @@
             for done in asyncio.as_completed(asked):
                 free = await done
                 yes, old = yes + (free is True), old or free is None
-                if (yes + 1) * 2 > len(asked) + 1:
+                if majority(yes, len(asked)):
                     break
         finally:
             for task in asked:
--- a/dappledrum/reach/messages.py
+++ b/dappledrum/reach/messages.py
@@ -11,10 +11,9 @@
 import msgspec
 from msgspec import Meta
 
+from dappledrum.leadership.messages import Age, Count
 from dappledrum.settings import Address
 
-Age = Annotated[int, Meta(ge=0, le=10**9)]  # milliseconds
-Count = Annotated[int, Meta(ge=0)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
 
 
--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -141,7 +141,7 @@
             ms(now - self.began),
             0,
             ms(now - self.pulse.awake_since()),
-            epoch=max(self.elector.epoch, term.epoch if term is not None else 0),
+            epoch=self.elector.epoch,
             leader=leader.member if leader is not None else None,
             holds=term is not None,
             term_ms=0 if term is None else ms(now - term.began),
@@ -291,8 +291,8 @@
         if word is None or not self.table.talks(leader, now):
             return None
         term = now - self.table.at(leader) + span(word.term_ms)
-        lost, late = report.zone in word.lost, term > FOUND
-        if not self.detours.needed(report.machine, report.token, word.epoch, lost, late):
+        lost, long = report.zone in word.lost, term > FOUND
+        if not self.detours.needed(report.machine, report.token, word.epoch, lost, long):
             return None
         return await self.passing.ask(leader, body)
 
