A server waits for an address in use, and says who holds scarce connections

Change: up to 10 s of waiting for the address; a line when three quarters of the connections are taken, and at each further eighth. Measured: tests over real sockets; without the wait one fails.

--- a/dappledrum/http/server.py
+++ b/dappledrum/http/server.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import errno
 import logging
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -33,6 +35,9 @@
 #: still once took hundreds at once on top of those that were over, unread, and had no socket left.
 ACCEPTED = 16
 WORKERS = "/hello"
+TAKEN_PAUSE = timedelta(milliseconds=50)  # until an address in use is tried again
+TAKEN_MOST = timedelta(seconds=10)
+CROWDED = 0.75  # of the connections there may be: said, with who holds them
 
 
 class Request(NamedTuple):
@@ -79,13 +84,14 @@
         self.max_connections = max_connections
         self.connections: dict[Connection, None] = {}
         self.workers = 0  # connections that workers hold
+        self.told = 0  # how many connections there were when that was last said
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Begin to listen; returns the port."""
         loop = asyncio.get_running_loop()
-        listening = socket.create_server((host, port), backlog=LISTEN)
+        listening = await self._take(host, port)
         listening.setblocking(False)
         self._server = await loop.create_server(
             lambda: Connection(self), sock=listening, backlog=ACCEPTED
@@ -94,6 +100,22 @@
         self._sweeper = loop.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
+    @staticmethod
+    async def _take(host: str, port: int) -> socket.socket:
+        """The address, as soon as nobody else has it: a process that is started again at once may
+        find the one before it not gone yet, and must not end for that."""
+        waited = timedelta(0)
+        while True:
+            try:
+                return socket.create_server((host, port), backlog=LISTEN)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or waited >= TAKEN_MOST:
+                    raise
+                if not waited:
+                    log.warning("%s:%d is still in use, waiting for it", host, port)
+            await asyncio.sleep(TAKEN_PAUSE.total_seconds())
+            waited += TAKEN_PAUSE
+
     async def stop(self) -> None:
         """Stop listening and drop every connection."""
         if self._sweeper is not None:
@@ -109,6 +131,29 @@
             now = asyncio.get_running_loop().time()
             for connection in [c for c in self.connections if c.deadline < now]:
                 connection.expire()
+            self._tell()
+
+    def _tell(self) -> None:
+        """Say who holds the connections when they become scarce, and again at each further
+        eighth."""
+        count = len(self.connections)
+        if count < self.max_connections * CROWDED / 2:
+            self.told = 0
+        if count < max(
+            self.max_connections * CROWDED, self.told + max(1, self.max_connections // 8)
+        ):
+            return
+        self.told = count
+        held = Counter((seat.role, seat.idle) for seat in self.connections)
+        log.warning(
+            "%d of %d connections taken: %s",
+            count,
+            self.max_connections,
+            ", ".join(
+                f"{held[role, False]} asking and {held[role, True]} idle of {role.name.lower()}"
+                for role in Role
+            ),
+        )
 
     def admit(self, connection: "Connection") -> bool:
         """Take a new connection; when full, another has to go, or this one."""
--- a/dappledrum/http/test_http.py
+++ b/dappledrum/http/test_http.py
@@ -116,3 +116,36 @@
             await Client("127.0.0.1", port).request("POST", "/x", b"", SECOND)
 
     asyncio.run(serving(check))
+
+
+def test_an_address_that_is_still_in_use_is_waited_for():
+    """A process that is started again at once may find the one before it not gone yet."""
+
+    async def check(before, port):
+        after = Server(echo, 5)
+        taking = asyncio.create_task(after.start("127.0.0.1", port))
+        await asyncio.sleep(0.2)
+        assert not taking.done()
+        await before.stop()
+        assert await taking == port
+        assert (await Client("127.0.0.1", port).request("GET", "/x", None, SECOND)).status == 200
+        await after.stop()
+
+    asyncio.run(serving(check))
+
+
+def test_who_holds_the_connections_is_said_when_they_become_scarce(caplog):
+    async def check(server, port):
+        held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(4)]
+        assert (await Client("127.0.0.1", port).request("GET", "/x", None, SECOND)).status == 200
+        server._tell()
+        server._tell()
+        for _, writer in held:
+            writer.close()
+
+    asyncio.run(serving(check, most=6))
+    said = [record.getMessage() for record in caplog.records if "taken" in record.getMessage()]
+    assert said == [
+        "5 of 6 connections taken: 0 asking and 4 idle of new, 0 asking and 0 idle of worker,"
+        " 0 asking and 1 idle of user"
+    ]
