Processes that begin in an outage are ready at once; words of a later process count

Cause: /ready was 503 until the state service had served a process once. A process whose clock says that it began before its predecessor was taken for it by its peers for as long as it lived. Change: ready also while a peer talks, which is asked for its version sooner; a process begins after what its peers know of it. Tests end processes at 17 steps, begun again after 0 to 1 s; without each guard one fails.

--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -60,7 +60,7 @@
 RELAYS = 2
 RELAY_TIME = timedelta(milliseconds=900)
 KNOCK_TIME = timedelta(seconds=10)
-VERSION_PAUSE = timedelta(seconds=2)
+VERSION_PAUSES = (timedelta(milliseconds=250), timedelta(seconds=2))  # the first, the longest
 HOLDERS_TIME = timedelta(milliseconds=200)
 AVOID = timedelta(seconds=20)
 PASSED_WAIT = timedelta(milliseconds=300)  # a passed report's answer waits for work no longer
@@ -269,6 +269,7 @@
         down for long."""
         told: dict[str, str] = {}
         settled = False
+        pause, longest = VERSION_PAUSES
         while True:
             for member in self.peers.callers:
                 if at_least(told.get(member, ""), REACH):
@@ -279,6 +280,7 @@
                     log.info("%s runs version %.40s", member, version)
                     if at_least(version, REACH):
                         self.reach.speaks.add(member)
+                        self.reach.tell()  # until it knows words this controller is not ready
             if len(told) == len(self.peers.callers):
                 self.ceiling.settle("all controllers read them")
             if all(at_least(told.get(member, ""), GANGS) for member in self.peers.callers):
@@ -286,7 +288,8 @@
             settled = settled or await self._gangs_known()
             if settled and all(at_least(told.get(m, ""), REACH) for m in self.peers.callers):
                 return
-            await asyncio.sleep(VERSION_PAUSE.total_seconds())
+            await asyncio.sleep(pause.total_seconds())
+            pause = min(pause * 2, longest)
 
     async def _gangs_known(self) -> bool:
         """Whether it is stored that all controllers know gangs, now or from before."""
@@ -361,9 +364,15 @@
         return None
 
     async def _ready(self, _request: Request) -> Response:
-        """Ready once the state service was reached; an outage later on changes nothing, flapping
-        is worse. The body says which way there is."""
-        if self.state.reached:
+        """Ready once the state service was reached, or a peer talks; an outage later on changes
+        nothing, flapping is worse. The body says which way there is.
+
+        Users are passed to a peer that is served, and where none is they are told at once when to
+        come back, as by controllers that were there before the outage. Processes that began in one
+        once said that they were not ready, and after it users found nobody for 10 s and more: the
+        load balancer takes back whom it has left out only slowly.
+        """
+        if self.state.reached or self.reach.talks():
             return Response(HTTPStatus.OK, msgspec.json.encode({"state": self._way()}))
         why = self.state.trouble.why or "no answer yet"
         return refusal(
--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -51,6 +51,8 @@
 ASIDE = timedelta(seconds=2)
 #: A worker that has not been answered by a leader of so long a term has a search behind it.
 FOUND = timedelta(seconds=3)
+#: Nobody's clock is further ahead of one's own; a word that says so is nobody's.
+CLOCKS_APART = timedelta(hours=1)
 SAMPLES = 2
 MOST_ZONES = 16
 
@@ -171,8 +173,24 @@
         now = self.clock.now()
         self.table.note(words.own, now, direct=True)
         for word in words.heard[: len(self.table.members)]:
+            if word.member == self.member:
+                self._outlive(word)
             self.table.note(word, now, direct=False)
 
+    def _outlive(self, word: Word) -> None:
+        """What a peer knows of this controller must not be newer than what it says itself.
+
+        Clocks wander: of two processes that begin a moment apart, the later one may think that it
+        began earlier, and all its words would be taken for old ones of the process before. A peer
+        hands that one's newest word on to it, and it begins after that.
+        """
+        now = ms(self.clock.now() - self.began)
+        newest = int((self.clock.today() + CLOCKS_APART).timestamp() * 1000)
+        if (self.born, now) < (word.born, word.tick) and word.born <= newest:
+            log.info("words of a process before this one look newer, beginning after them")
+            self.born = word.born + 1
+            self.tell()
+
     def answer(self, words: Words) -> WordsReply:
         """A peer tells its words, and gets ours; it speaks them, whatever its version was."""
         if words.own.member in self.table.members:
@@ -272,6 +290,11 @@
         words = {word.member: word for word in self._words()}
         return who_leads(claims((self.table.known[name] for name in words), own), words)
 
+    def talks(self) -> bool:
+        """Whether any peer has told something lately."""
+        now = self.clock.now()
+        return any(self.table.talks(peer, now) for peer in self.speaks)
+
     def served_peers(self) -> list[str]:
         """Peers that the state service serves, the quickest first."""
         now = self.clock.now()
@@ -328,7 +351,7 @@
     def _useless(self, ours: Situation) -> bool:
         """Whether nobody is served by this leader, and nobody can be asked who had better lead:
         it steps aside for a moment, and leads again if no other does."""
-        if ours.heard or not ours.apart or any(self.table.talks(p, ours.now) for p in self.speaks):
+        if ours.heard or not ours.apart or self.talks():
             return False
         return all(ours.now - at > SEARCH for at in ours.apart.values())
 
--- /dev/null
+++ b/dappledrum/standins/ends.py
@@ -0,0 +1,102 @@
+"""Processes that end at a chosen step of what they do, and are there again within a second.
+
+A step is told by the request that it sends, or by the one that it is about to answer. When the
+chosen one comes by, its sender (or whoever should answer) ends: before anything has left, right
+after the request has, or so that the request is executed a while later, when the next process of
+the same name runs already. That one begins after a span drawn from 0 to 1 s.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+from dappledrum.standins.network import Sent, host
+from dappledrum.standins.world import World
+
+BACK = (0.0, 0.01, 0.1, 0.3, 1.0)
+LATE_MOST = 5.0
+
+
+class Step(NamedTuple):
+    """A kind of request, and whether it is who answers it that ends."""
+
+    matches: Callable[[Sent], bool]
+    answering: bool = False
+
+
+def _writes(sent: Sent, key: bytes) -> bool:
+    return sent.path == "/multi" and b'"write":"' + key in sent.body
+
+
+def _asks(sent: Sent, kind: bytes) -> bool:
+    return sent.target.startswith("back-") and kind in sent.body
+
+
+def _step(target: str, path: str) -> Step:
+    return Step(lambda sent: sent.target == target and sent.path.startswith(path))
+
+
+def _peer(kind: bytes, answering: bool = False) -> Step:
+    return Step(lambda sent: _asks(sent, kind), answering)
+
+
+STEPS: dict[str, Step] = {
+    "first look": _step("state", "/keys?prefix=leader"),
+    "lease": Step(lambda sent: sent.target == "state" and sent.path == "/holds"),
+    "candidate asks": _peer(b"standing"),
+    "candidate is answered": _peer(b"standing", True),
+    "election": Step(lambda sent: _writes(sent, b"leader")),
+    "renewal": Step(lambda sent: sent.target == "state" and sent.path.endswith("/touch")),
+    "first read": _step("state", "/keys?prefix=job/"),
+    "records": Step(lambda sent: _writes(sent, b"job/")),
+    "end of a job": Step(lambda sent: _writes(sent, b"ended/")),
+    "rental": Step(lambda sent: sent.target == "cloud" and sent.path == "/rentals"),
+    "return": _step("cloud", "/rentals/return"),
+    "promise asked": _peer(b"promise"),
+    "promise given": _peer(b"promise", True),
+    "handover": _peer(b"hand_over"),
+    "handover taken": _peer(b"hand_over", True),
+    "word": _peer(b"reach"),
+    "report": Step(lambda sent: sent.path == "/hello", True),
+}
+
+
+class Ends:
+    """Ends controllers of a world at one step, now and then."""
+
+    def __init__(self, world: World, step: Step, rng: random.Random, most: int) -> None:
+        self.world = world
+        self.step = step
+        self.rng = rng
+        self.most = most
+        self.next = rng.randint(1, 2)  # of those that come by, until one is chosen
+        self.fates: Counter[str] = Counter()
+        world.network.watcher = self._sees
+
+    def _sees(self, sent: Sent) -> float | None:
+        if self.fates.total() >= self.most or not self.step.matches(sent):
+            return None
+        member = host(sent.target if self.step.answering else sent.source)
+        if member not in self.world.members or not self.world.alive(member):
+            return None
+        self.next -= 1
+        if self.next > 0:
+            return None
+        self.next = self.rng.randint(1, 8)
+        fate = self.rng.choice(("before", "after", "late"))
+        self.fates[fate] += 1
+        loop = asyncio.get_running_loop()
+        if fate == "after":
+            loop.call_later(self.rng.uniform(0.0, 0.01), self._end, member)
+            return None
+        self._end(member)
+        if self.step.answering:
+            return None  # nobody is there, or the next process
+        return self.rng.uniform(0.0, LATE_MOST) if fate == "late" else 3600.0
+
+    def _end(self, member: str) -> None:
+        if self.world.alive(member):
+            self.world.kill(member)
+            asyncio.get_running_loop().call_later(self.rng.choice(BACK), self.world.start, member)
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 from dappledrum.http.client import NoResponseError, NotSentError, Reply
 from dappledrum.patience import Patience
@@ -15,6 +15,15 @@
 ]  # source, method, path, body
 
 
+class Sent(NamedTuple):
+    """A request on its way."""
+
+    source: str
+    target: str
+    path: str
+    body: bytes
+
+
 def host(name: str) -> str:
     """The machine of an address: controllers have two, for users and workers and for peers."""
     return name.removeprefix("back-")
@@ -33,6 +42,9 @@
         self.refusing: set[frozenset[str]] = set()  # connections are refused or reset
         self.blocked: set[tuple[str, str]] = set()  # one way: from one host to another
         self.slow: dict[tuple[str, str], float] = {}  # seconds more, one way
+        #: Told of each request as it arrives; seconds until it is executed, after its sender has
+        #: given up on it, or None: as ever.
+        self.watcher: Callable[[Sent], float | None] | None = None
         self.held: list[tuple[str, str, str, str, bytes]] = []
         self.late = 0
 
@@ -55,8 +67,12 @@
                     self._late(source, target, method, path, body)
                 )
 
-    async def _late(self, source: str, target: str, method: str, path: str, body: bytes) -> None:
-        await self.services[target](source, method, path, body)
+    async def _late(
+        self, source: str, target: str, method: str, path: str, body: bytes, after: float = 0.0
+    ) -> None:
+        await asyncio.sleep(after)
+        if target in self.services:
+            await self.services[target](source, method, path, body)
 
     def caller(self, source: str, target: str) -> "Link":
         """A client at one host for a service at another."""
@@ -70,6 +86,7 @@
         self.network = network
         self.source = source
         self.target = target
+        self.ended = False  # the process at the source: it sends and hears nothing any more
 
     async def request(
         self, method: str, path: str, body: bytes | None, timeout: timedelta
@@ -83,6 +100,8 @@
 
     async def _request(self, method: str, path: str, body: bytes) -> Reply:
         network = self.network
+        if self.ended:
+            await asyncio.sleep(3600)
         pair = frozenset((self.source, self.target))
         there = (host(self.source), host(self.target))
         back = (there[1], there[0])
@@ -90,6 +109,14 @@
         if pair in network.cuts or there in network.blocked:
             network.held.append((self.source, self.target, method, path, body))
             await asyncio.sleep(3600)
+        if network.watcher is not None:
+            after = network.watcher(Sent(self.source, self.target, path, body))
+            if after is not None:
+                asyncio.get_running_loop().create_task(
+                    network._late(self.source, self.target, method, path, body, after),
+                    context=contextvars.Context(),
+                )
+                await asyncio.sleep(3600)
         service = network.services.get(self.target)
         if service is None or pair in network.refusing:
             raise NotSentError("connection refused")
@@ -102,6 +129,8 @@
         await asyncio.sleep(network.rng.uniform(0.0005, 0.004) + network.slow.get(back, 0.0))
         if pair in network.cuts or pair in network.deaf or back in network.blocked:
             await asyncio.sleep(3600)
-        if self.target not in network.services:
+        if self.ended:
+            await asyncio.sleep(3600)
+        if network.services.get(self.target) is not service:
             raise NoResponseError("connection lost")
         return reply
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -29,7 +29,7 @@
     WorkerLimits,
 )
 from dappledrum.standins.fleet import CloudService, Timing
-from dappledrum.standins.network import Network, Service
+from dappledrum.standins.network import Link, Network, Service
 from dappledrum.standins.state_service import StateService
 from dappledrum.standins.time import PROCESS, SkewedClock, VirtualLoop
 
@@ -134,6 +134,7 @@
     rng: random.Random = field(init=False)
     nodes: dict[str, Node] = field(default_factory=dict)
     processes: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    links: dict[str, list[Link]] = field(default_factory=dict)  # of each controller's process
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -178,16 +179,15 @@
         clock = SkewedClock(
             (-0.0005, 0.0, 0.0005)[index % 3], timedelta(seconds=(-0.2, 0.2, 0.0)[index % 3])
         )
-        callers = {
-            peer.member: self.network.caller(member, "back-" + peer.member) for peer in peers
-        }
+        self.links[member] = []
+        callers = {peer.member: self._link(member, "back-" + peer.member) for peer in peers}
         node = Node(
             settings,
             Tuning(reach=self.reach and member not in self.old),
             clock,
             random.Random(self.rng.random()),
             self._state_caller(member),
-            self.network.caller(member, "cloud"),
+            self._link(member, "cloud"),
             dict(callers),
             partial(self._probe, member),
         )
@@ -199,6 +199,11 @@
         self.network.services[member] = self._service(node.serve, context)
         self.network.services["back-" + member] = self._service(self._peer(node, member), context)
 
+    def _link(self, member: str, target: str) -> Link:
+        link = self.network.caller(member, target)
+        self.links[member].append(link)
+        return link
+
     async def _probe(self, member: str, address: str, timeout: timedelta) -> bool:
         link = self.network.caller(member, self.network.addresses[address])
         try:
@@ -228,7 +233,7 @@
         return refuse
 
     def _state_caller(self, member: str) -> Caller:
-        link = self.network.caller(member, "state")
+        link = self._link(member, "state")
         return OldCaller(link) if member in self.old else link
 
     async def restart_all(self, after: float = 3.0) -> None:
@@ -282,6 +287,8 @@
         """End a controller's process without a word."""
         self.thaw(member)
         self.processes[member].cancel()
+        for link in self.links[member]:
+            link.ended = True  # what it had begun to do sends nothing any more
         self.network.services.pop(member, None)
         self.network.services.pop("back-" + member, None)
 
