Model of promises: processes in a loop of ends, transactions executed after their sender's end

Need: a process that ends may be there again at once, while its transaction of an election is still on its way.

--- a/dappledrum/model/promises.py
+++ b/dappledrum/model/promises.py
@@ -2,8 +2,9 @@
 
 The peers' part is the real `Witness`; leader and candidate are the plainest that follow the rules
 of docs/reach.md. A schedule is drawn from a seed: messages come late, in any order, or never,
-processes end and begin again without memory, and the state service serves whom it likes. After
-each event: once a leader takes silence for a proof, nobody of a lower epoch answers workers.
+processes end and begin again without memory, at any moment and at once, transactions are executed
+late, also when the process that sent them has ended, and the state service serves whom it likes.
+After each event: once a leader takes silence for a proof, nobody of a lower epoch answers workers.
 
 `without` leaves out one of the conditions that the argument needs, to see that it does.
 """
@@ -21,6 +22,7 @@
 MARGIN = 0.1
 ASKING = 0.75
 PAUSE = 0.25
+WAITING = LIFE / 2  # for the answer to the transaction of an election
 STANDING = 1.5  # longer than in the program, so that more fits in between
 ALONE = 6.0  # how long a leader goes on for the promises of a majority that is not all
 PROMISED = PROMISE.total_seconds()
@@ -35,6 +37,7 @@
     "going on without all is bounded",
     "who has promised does not stand",
     "a successor is told whether it is clear",
+    "who has stood does not promise",
 )
 
 
@@ -89,6 +92,10 @@
             self._after(rng.uniform(0, PAUSE), lambda m=member: self._loop(m))
         for _ in range(rng.choice((0, 1, 8))):
             self._after(rng.uniform(0, 15), self._restart)
+        if rng.random() < 0.2:  # one in a loop of ends
+            looping, began = rng.choice(self.members), rng.uniform(0, 8)
+            for turn in range(20):
+                self._after(began + turn * rng.uniform(0.1, 0.4), lambda: self._restart(looping))
         for _ in range(rng.choice((0, 12))):
             self._after(rng.uniform(0, 15), self._hand_over)
         for _ in range(rng.choice((1, 4, 15))):
@@ -117,8 +124,8 @@
         """A link between two goes, or comes back."""
         self.cut ^= {frozenset(self.rng.sample(self.members, 2))}
 
-    def _restart(self) -> None:
-        member = self.rng.choice(self.members)
+    def _restart(self, member: int | None = None) -> None:
+        member = self.rng.choice(self.members) if member is None else member
         self.process[member] += 1
         self.terms.pop(member, None)
         witness = self.witness[member] = Witness(self._clock())
@@ -142,10 +149,28 @@
         if not known and not self._may_stand(member):
             return
         told = known or not self._has("a successor is told whether it is clear")
+        self.witness[member].tried = self.epoch
         self._lead(member, self.epoch + 1, told)
 
+    def _send(self, one: Round) -> None:
+        """The transaction of an election is on its way: executed at once, or a while later."""
+        if self._has("who has stood does not promise"):
+            self.witness[one.asker].tried = self.epoch
+        clear, sent = self._told(one), self.now
+        wait = self.rng.choice((0.0, 0.0, self.rng.uniform(0, LIFE)))
+        self._after(wait, lambda: self._apply(one, sent, clear))
+
+    def _apply(self, one: Round, sent: float, clear: bool) -> None:
+        """It is executed, under a lease that was opened when it was sent."""
+        if self.key is not None or self.epoch + 1 != one.epoch or self.now > sent + LIFE:
+            return
+        if self.process[one.asker] == one.process and self.now < sent + WAITING:
+            self._lead(one.asker, one.epoch, clear)
+        else:  # whoever sent it has ended, or given it up: nobody leads under this key
+            self.epoch = self.key = one.epoch
+            self.key_end = sent + LIFE
+
     def _lead(self, member: int, epoch: int, clear: bool) -> None:
-        self.witness[member].tried = self.epoch
         self.epoch = self.key = epoch
         self.key_end = self.now + LIFE
         term = Term(epoch, self.key_end - MARGIN, self.now, self.now)
@@ -241,7 +266,7 @@
             return
         if not self._may_stand(one.asker):
             return
-        self._lead(one.asker, one.epoch, self._told(one))
+        self._send(one)
 
     def _gather_clear(self, one: Round) -> None:
         term = self.terms.get(one.asker)
--- a/dappledrum/model/test_promises.py
+++ b/dappledrum/model/test_promises.py
@@ -8,7 +8,11 @@
 from dappledrum.leadership.witness import Witness
 from dappledrum.model.promises import GUARDS, search
 
-RARE = ("free leaves a bar", "one that has just begun promises weakly")
+RARE = (
+    "free leaves a bar",
+    "one that has just begun promises weakly",
+    "who has stood does not promise",
+)
 
 
 @pytest.mark.parametrize("members", [3, 5])
@@ -44,3 +48,17 @@
     strong = not promise(b, 1.80).weak  # with it, the leader goes on until 3.7
     assert a.standing(2, at(2.05), False).free  # and the candidate has a majority
     assert strong is not guarded
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_whoever_has_stood_promises_nothing_against_it(ended):
+    """All four peers promise, three of them weakly, while the transaction of one is on its way: it
+    would lead, and be clear. When its process has ended nobody leads by that transaction, and the
+    next process may promise."""
+    peer = Witness(timedelta(seconds=-10))
+    assert peer.standing(2, timedelta(0), False).free
+    peer.tried = 1
+    if ended:
+        peer = Witness(timedelta(0))
+    reply = peer.promise(PromiseRequest("leader", 1, 2000), timedelta(seconds=0.1), False, 1)
+    assert reply.granted is ended and (reply.weak or not ended)
