--- a/dappledrum/accounts/served.py
+++ b/dappledrum/accounts/served.py
@@ -1,11 +1,38 @@
-"""What was accepted, started and done of each team, said with the account of money.
+"""What was accepted, started and done of each team, said with the account of money, and of each
+job what became of it.
 
-A day is judged by the least share of any."""
+A day is judged by the least share of any; `shares.py` sums the logs of all controllers up."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
 
 from dappledrum.jobs.record import Job
+from dappledrum.scheduling.deadlines import stage_deadlines
+from dappledrum.settings import Objective
+
+
+def described(tasks: int, job_class: str, team: str) -> str:
+    """Whose job it is, in the words that `shares.py` reads."""
+    return f"{tasks} tasks of {job_class} for {team}"
+
+
+def ending(job: Job, objectives: Sequence[Objective]) -> str:
+    """What became of a job that is over: how long it took from its acceptance, and by when it was
+    expected: its owner's deadline, or the earliest time by which its class should be done."""
+    record = job.ended_record()
+    result = f"{job.id} is {record.state}: " + described(
+        job.spec.tasks, job.spec.job_class, job.spec.team
+    )
+    if job.ended_at is None:
+        return result
+    result += f", {(job.ended_at - job.accepted_at).total_seconds():.1f} s after it came"
+    due = job.spec.deadline_s
+    if due is None:
+        finished = [o for o in objectives if o.kind == "finished"]
+        limits = stage_deadlines(finished, job.spec.job_class, timedelta(0))
+        due = limits[0].total_seconds() if limits else None
+    return result if due is None else f"{result}, due after {due:.1f} s"
 
 
 class Served:
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from dappledrum.accounts.served import described
 from dappledrum.chains.lookup import Lookup
 from dappledrum.clock import Clock
 from dappledrum.fleet.messages import MachineType
@@ -157,9 +158,7 @@
         except ConflictError:
             found = await self.find(spec.id, Rank.INTAKE)
             return busy() if found is None else self._present(spec.id, found, HTTPStatus.OK)
-        log.info(
-            "accepted %s: %d tasks of %s for %s", spec.id, spec.tasks, spec.job_class, spec.team
-        )
+        log.info("accepted %s: %s", spec.id, described(spec.tasks, spec.job_class, spec.team))
         return answer(HTTPStatus.CREATED, Answer(spec.id, Outcome.QUEUED))
 
     async def _objection(self, spec: Spec) -> Response | None:
--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from dappledrum.accounts.ledger import STEP, Ledger
-from dappledrum.accounts.served import Served
+from dappledrum.accounts.served import Served, described, ending
 from dappledrum.chains.graph import Graph
 from dappledrum.chains.resolver import Resolver
 from dappledrum.clock import ZERO, Clock
@@ -295,7 +295,8 @@
 
     def _new(self, job: Job) -> Job:
         self.jobs[job.id] = job
-        log.info("new job %s: %d tasks of %s", job.id, job.spec.tasks, job.spec.job_class)
+        spec = job.spec
+        log.info("new job %s: %s", job.id, described(spec.tasks, spec.job_class, spec.team))
         self.graph.add(job)
         return job
 
@@ -317,7 +318,7 @@
         self.incomplete.pop(name, None)
 
     def _ended(self, job: Job) -> None:
-        log.info("%s is %s", job.id, job.ended_record().state)
+        log.info("%s", ending(job, self.params.objectives))
         self.jobs.pop(job.id, None)
         self.graph.ended(job)
         self.estimates.forget(job.id)
