Sockets are shared out, those that wait to be accepted counted

Change: own requests, peers, public connections and both queues together are never more than max_sockets; 946 workers fit into 1,490.

--- a/dappledrum/http/server.py
+++ b/dappledrum/http/server.py
@@ -30,14 +30,14 @@
     Role.WORKER: timedelta(seconds=30),
     Role.USER: timedelta(seconds=120),
 }
-LISTEN = 256  # connections that the system holds until they are accepted
+LISTEN = 256  # connections that the system holds until they are accepted, unless said otherwise
 #: Accepted at a time, between two looks at what has arrived and ended: a process that had stood
 #: still once took hundreds at once on top of those that were over, unread, and had no socket left.
 ACCEPTED = 16
 WORKERS = "/hello"
 TAKEN_PAUSE = timedelta(milliseconds=50)  # until an address in use is tried again
 TAKEN_MOST = timedelta(seconds=10)
-CROWDED = 0.75  # of the connections there may be: said, with who holds them
+CROWDED = 0.9  # of the connections there may be: said, with who holds them
 
 
 class Request(NamedTuple):
@@ -79,9 +79,10 @@
 class Server:
     """Listens on one address and hands complete requests to a handler."""
 
-    def __init__(self, handler: Handler, max_connections: int) -> None:
+    def __init__(self, handler: Handler, max_connections: int, waiting: int = LISTEN) -> None:
         self.handler = handler
         self.max_connections = max_connections
+        self.waiting = waiting  # the most that wait to be accepted
         self.connections: dict[Connection, None] = {}
         self.workers = 0  # connections that workers hold
         self.told = 0  # how many connections there were when that was last said
@@ -96,18 +97,17 @@
         self._server = await loop.create_server(
             lambda: Connection(self), sock=listening, backlog=ACCEPTED
         )
-        listening.listen(LISTEN)  # asyncio takes one figure for both
+        listening.listen(self.waiting)  # asyncio takes one figure for both
         self._sweeper = loop.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
-    @staticmethod
-    async def _take(host: str, port: int) -> socket.socket:
+    async def _take(self, host: str, port: int) -> socket.socket:
         """The address, as soon as nobody else has it: a process that is started again at once may
         find the one before it not gone yet, and must not end for that."""
         waited = timedelta(0)
         while True:
             try:
-                return socket.create_server((host, port), backlog=LISTEN)
+                return socket.create_server((host, port), backlog=self.waiting)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or waited >= TAKEN_MOST:
                     raise
--- a/dappledrum/http/test_seats.py
+++ b/dappledrum/http/test_seats.py
@@ -1,6 +1,7 @@
 """Who has to go, against a plain order, and real sockets after a pause."""
 
 import asyncio
+import select
 import socket
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 from dappledrum.http.seats import SPARED, Role, most_workers, to_shed, to_shed_for_worker
 from dappledrum.http.server import ACCEPTED, Response, Server
 from dappledrum.http.test_http import SECOND, echo
+from dappledrum.wiring import sockets
 
 
 @dataclass
@@ -115,3 +117,32 @@
         await server.stop()
 
     asyncio.run(main())
+
+
+def test_what_waits_to_be_accepted_is_bounded():
+    """A process that stands still accepts nothing, and what waits counts among its sockets."""
+
+    async def main():
+        server = Server(echo, 40, waiting=4)
+        port = await server.start("127.0.0.1", 0)
+        asked = []
+        for _ in range(30):  # nobody gets a turn here, as in a pause
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", port))
+            asked.append(one)
+        _, connected, _ = select.select([], asked, [], 0.2)
+        assert 0 < len(connected) <= 4 + 1  # the system takes one more
+        for one in asked:
+            one.close()
+        await server.stop()
+
+    asyncio.run(main())
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.integers(64, 5_000), st.integers(0, 8))
+def test_sockets_are_shared_out_and_never_more_than_there_are(most, peers):
+    shares = sockets(most, peers)
+    assert sum(shares) == most and all(share >= 1 for share in shares)
+    assert shares.public >= most // 3
--- a/dappledrum/wiring.py
+++ b/dappledrum/wiring.py
@@ -4,19 +4,48 @@
 import logging
 import random
 from datetime import timedelta
+from typing import NamedTuple
 
 from dappledrum.clock import Clock
 from dappledrum.dispatch import Tuning
 from dappledrum.http.client import Client, NoResponseError
-from dappledrum.http.server import Server
+from dappledrum.http.server import LISTEN, Server
 from dappledrum.node import Node
 from dappledrum.settings import Settings, split_address
 
 log = logging.getLogger(__name__)
 
-OWN_SOCKETS = (
-    80  # kept for requests to the state service, the cloud and the peers, and for listening
-)
+STATE_OPEN = 40  # requests to the state service at a time; loops and batches, never one a user
+CLOUD_OPEN = 6
+PEER_OPEN = 12  # to each peer
+APART = 10  # for listening, and probes of workers
+WAITING = 6  # a share of 1/6 of all sockets may wait to be accepted
+
+
+class Sockets(NamedTuple):
+    """How the sockets of a process are shared out; together never more than there are."""
+
+    own: int  # requests to others, and listening
+    peers: int  # connections of peers
+    peers_waiting: int  # the same, until they are accepted
+    public: int  # connections of workers, users and health checks
+    public_waiting: int
+
+
+def sockets(most: int, peers: int) -> Sockets:
+    """Share out at most so many sockets.
+
+    Connections that wait to be accepted count, too. While a process stands still they are all
+    that comes, and nothing is read of those that are over: a leader of 900 machines that went on
+    after 25 s held all the sockets it could have, and got none for the state service.
+    """
+    own = min(STATE_OPEN + CLOUD_OPEN + PEER_OPEN * peers + APART, most // 4)
+    private = min(PEER_OPEN * max(peers, 1), most // 8)
+    private_waiting = max(1, private // 6)
+    waiting = min(LISTEN, most // WAITING)
+    return Sockets(
+        own, private, private_waiting, most - own - private - private_waiting - waiting, waiting
+    )
 
 
 async def _worker_answers(address: str, timeout: timedelta) -> bool:
@@ -32,20 +61,23 @@
 async def run_node(settings: Settings, tuning: Tuning) -> None:
     """Listen, then run until the process is killed."""
     most = settings.params.machine_limits.max_sockets
-    peers = {peer.member: Client(*split_address(peer.address)) for peer in settings.seeds}
+    shares = sockets(most, len(settings.seeds))
+    peers = {
+        peer.member: Client(*split_address(peer.address), max_open=PEER_OPEN)
+        for peer in settings.seeds
+    }
     node = Node(
         settings,
         tuning,
         Clock(),
         random.Random(),
-        Client(*split_address(settings.external.state), max_idle=8),
-        Client(*split_address(settings.external.cloud), max_idle=2),
+        Client(*split_address(settings.external.state), max_idle=8, max_open=STATE_OPEN),
+        Client(*split_address(settings.external.cloud), max_idle=2, max_open=CLOUD_OPEN),
         dict(peers),
         _worker_answers,
     )
-    reserve = min(OWN_SOCKETS, most // 3)
-    public = Server(node.serve, max(8, most - 2 * reserve))
-    private = Server(node.serve_peer, reserve)
+    public = Server(node.serve, shares.public, shares.public_waiting)
+    private = Server(node.serve_peer, shares.peers, shares.peers_waiting)
     await public.start(*split_address(settings.serve_on))
     await private.start(*split_address(settings.back))
     log.info("listening on %s, for peers on %s", settings.serve_on, settings.back)
