Machines that were up before a term are room that comes, not boots of minutes

Cause: a new leader hears of hundreds of machines at once, by records and list, and of their workers one after the other. Until it had heard of one, a machine with work counted as no room, and an idle one as a boot that had lasted since its rental: 62 and 133 ordinary machines were rented within 10 s of two takeovers while all those came back. Change: recovery/back.py: to the planner it is a lane that opens a report's time and a search from now, past that the further, the longer it is missing, with what runs there reserved. Without each of the two changes a test fails.

--- a/dappledrum/dispatch.py
+++ b/dappledrum/dispatch.py
@@ -250,7 +250,7 @@
         model = self.keeper.types.get(kind.type) if kind is not None else None
         if kind is None or model is None or not self._takes_work(machine, now):
             return None
-        if not machine.up and machine.placements:
+        if not machine.up and machine.placements and not machine.expected_back:
             return None
         ready_at = now if machine.up else self.keeper.ready_at(machine)
         until = None if machine.recall_at is None else machine.recall_at - timedelta(seconds=1)
@@ -271,8 +271,8 @@
         for placement in machine.placements.values():
             spec = placement.page.job.spec
             lanes.reserve(
-                now,
-                self._finish(placement, lanes, now),
+                ready_at,
+                max(ready_at, self._finish(placement, lanes, now)),
                 Size(spec.cpus, spec.gpus, spec.memory_gb),
             )
             lanes.expect(spec.image, spec.image_gb, now)
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -9,6 +9,7 @@
 from dappledrum.fleet.boots import Boots, Waiting
 from dappledrum.fleet.cloud import Cloud, CloudError, NoCapacityError
 from dappledrum.fleet.messages import ListedMachine, MachineType, RentalRequest
+from dappledrum.recovery.back import back_in
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.settings import Params
 from dappledrum.troubles import Trouble
@@ -90,10 +91,13 @@
         return max(self.base_interval, boot * BOOTS_IN_INTERVAL)
 
     def ready_at(self, machine: Machine) -> timedelta:
-        """When a booting machine is expected to be up."""
+        """When a booting machine is expected to be up, or one that was up before this term to
+        report to this leader."""
         now = self.clock.now()
         if machine.kind is None:
             return now + self.base_interval
+        if machine.expected_back:
+            return now + back_in(now - machine.seen_at, self.params.workers.report)
         return now + self.boots.left(machine.kind, machine.rented_at, now)
 
     def overdue(self, machine: Machine) -> bool:
@@ -311,6 +315,7 @@
                 machine.kind = Kind(item.type, item.zone, item.spot)
             machine.listed_at = now
             machine.failed |= item.state == "failed"
+            machine.listed_up |= item.state == "running"
         if not self.listed:
             self.listed = True
             self.wake("first list")
--- /dev/null
+++ b/dappledrum/recovery/test_back.py
@@ -0,0 +1,92 @@
+"""Machines that come back to a new leader, and what is rented meanwhile."""
+
+from datetime import timedelta
+
+import pytest
+
+from dappledrum.recovery.back import back_in
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+
+FIVE = tuple(f"drummer-{index}" for index in range(5))
+
+
+def test_a_machine_is_the_further_away_the_longer_it_is_missing():
+    report = timedelta(seconds=3)
+    usual = [back_in(timedelta(seconds=s), report).total_seconds() for s in range(6)]
+    assert usual == sorted(usual, reverse=True) and 0 < usual[-1] < 1 < usual[0] < 7
+    missing = [back_in(timedelta(seconds=s), report).total_seconds() for s in range(6, 60)]
+    assert missing == sorted(missing) and missing[0] < 2 and missing[-1] > 60
+
+
+@pytest.mark.parametrize("comes", [True, False])
+def test_nothing_is_rented_for_what_is_about_to_come_back(comes):
+    """Idle machines that the list shows were taken for boots of minutes, and others were rented in
+    the seconds in which their workers came. Those that don't come are replaced soon."""
+
+    async def main():
+        world = World(seed=1, members=FIVE, lease_s=12.0)
+        world.cloud.most = 200
+        for _ in range(30):
+            world.cloud.add(("small", "a", True))
+        await world.until(lambda: world.leader() is not None)
+        # One on each, with room for one of the others beside it.
+        long = job(
+            1,
+            beats=30,
+            builds=["small"],
+            vcpus=1.0,
+            memGb=9.0,
+            runS=160.0,
+            expectedS=160.0,
+            dueS=400.0,
+        )
+        await world.submit(long)
+        await world.wait(100)
+        up, rented = len(world.cloud.workers()), world.cloud.next
+        assert up >= 30
+        for worker in world.cloud.workers():
+            worker.hung = True
+        await world.restart_all(1.0)
+        await world.until(lambda: world.leader() is not None)
+        assert await world.submit(job(2, beats=30, dueS=40.0)) == 201
+        await world.wait(2.5)
+        assert world.cloud.next == rented, "they may be back any moment"
+        if comes:
+            for worker in world.cloud.workers():
+                worker.hung = False
+            await world.finish(["j-000001", "j-000002"])
+            assert world.cloud.next <= rented + 3
+        else:
+            await world.wait(12)
+            assert world.cloud.next > rented + 5, "they don't come"
+            for worker in world.cloud.workers():
+                worker.hung = False
+            await world.finish(["j-000001", "j-000002"])
+
+    run(main())
+
+
+def test_a_fleet_that_comes_back_is_not_rented_again():
+    """All controllers end in the midst of much work, and come back before the workers' leases
+    end."""
+
+    async def main():
+        world = World(seed=1, members=FIVE, lease_s=12.0)
+        world.cloud.most = 200
+        await world.until(lambda: world.leader() is not None)
+        names = []
+        for number in range(8):
+            spec = job(number, beats=60, runS=9.0, expectedS=9.0, dueS=200.0)
+            names.append(spec["id"])
+            assert await world.submit(spec) == 201
+        await world.until(lambda: world.rules.starts >= 200)
+        await world.wait(6)
+        rented, up = world.cloud.next, len(world.cloud.workers())
+        await world.restart_all(8.0)
+        await world.until(lambda: world.leader() is not None)
+        await world.wait(8)
+        assert up >= 25 and world.cloud.next - rented <= 3
+        await world.finish(names, most=600)
+
+    run(main())
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -42,6 +42,7 @@
         self.errors: dict[str, int] = {}  # failures by job, since the last success
         self.blocked_until = timedelta(0)
         self.listed_at: timedelta | None = None
+        self.listed_up = False  # the cloud's list has shown it as running
         self.given = asyncio.Event()  # something was placed there
 
     @property
@@ -49,6 +50,11 @@
         """Its worker has reported to this leader."""
         return self.up_at is not None
 
+    @property
+    def expected_back(self) -> bool:
+        """It was up before this term, and has not reported in it yet."""
+        return self.listed_up and not self.up and self.asked_at is None
+
     @property
     def usable(self) -> bool:
         """Nothing speaks against putting something there."""
