--- a/dappledrum/http/server.py
+++ b/dappledrum/http/server.py
@@ -86,13 +86,16 @@
         self.connections: dict[Connection, None] = {}
         self.workers = 0  # connections that workers hold
         self.told = 0  # how many connections there were when that was last said
+        self._listening: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self, host: str, port: int) -> int:
-        """Begin to listen; returns the port."""
+        """Begin to serve; returns the port."""
         loop = asyncio.get_running_loop()
-        listening = await self._take(host, port)
+        await self.take(host, port)
+        listening = self._listening
+        assert listening is not None
         listening.setblocking(False)
         self._server = await loop.create_server(
             lambda: Connection(self), sock=listening, backlog=ACCEPTED
@@ -101,13 +104,14 @@
         self._sweeper = loop.create_task(self._sweep())
         return int(self._server.sockets[0].getsockname()[1])
 
-    async def _take(self, host: str, port: int) -> socket.socket:
-        """The address, as soon as nobody else has it: a process that is started again at once may
-        find the one before it not gone yet, and must not end for that."""
+    async def take(self, host: str, port: int) -> None:
+        """Have the address, as soon as nobody else has it: a process that is started again at once
+        may find the one before it not gone yet, and must not end for that."""
         waited = timedelta(0)
-        while True:
+        while self._listening is None:
             try:
-                return socket.create_server((host, port), backlog=self.waiting)
+                self._listening = socket.create_server((host, port), backlog=self.waiting)
+                return
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or waited >= TAKEN_MOST:
                     raise
@@ -122,6 +126,8 @@
             self._sweeper.cancel()
         if self._server is not None:
             self._server.close()
+        elif self._listening is not None:
+            self._listening.close()
         for connection in list(self.connections):
             connection.abort()
 
--- a/dappledrum/wiring.py
+++ b/dappledrum/wiring.py
@@ -62,6 +62,12 @@
     """Listen, then run until the process is killed."""
     most = settings.params.machine_limits.max_sockets
     shares = sockets(most, len(settings.seeds))
+    public = Server(lambda request: node.serve(request), shares.public, shares.public_waiting)
+    private = Server(lambda request: node.serve_peer(request), shares.peers, shares.peers_waiting)
+    # What this process may have forgotten is counted from its beginning; a former one that still
+    # has the addresses may be promising yet, so it begins when that one is gone.
+    await public.take(*split_address(settings.serve_on))
+    await private.take(*split_address(settings.back))
     peers = {
         peer.member: Client(*split_address(peer.address), max_open=PEER_OPEN)
         for peer in settings.seeds
@@ -76,8 +82,6 @@
         dict(peers),
         _worker_answers,
     )
-    public = Server(node.serve, shares.public, shares.public_waiting)
-    private = Server(node.serve_peer, shares.peers, shares.peers_waiting)
     await public.start(*split_address(settings.serve_on))
     await private.start(*split_address(settings.back))
     log.info("listening on %s, for peers on %s", settings.serve_on, settings.back)
