A new leader takes what was silent since all others held no term for gone a lease after that

Cause: it assumed that its predecessor had answered every worker until the takeover. After 25 s without controllers inside an outage what had died meanwhile was proven gone a full lease after the takeover, 8 s later than the processes were back. Change: once it leads it asks all others for how long they have answered nobody by a term of their own (since their last term ended, or their process began). If all tell, that moment counts instead of the takeover.

--- a/dappledrum/leader.py
+++ b/dappledrum/leader.py
@@ -154,6 +154,15 @@
         self.keeper.types = {t.name: t for t in types}
         self.bookkeeper.cache_gb = {t.name: t.cache_gb for t in types}
 
+    def quiet_since(self, moment: timedelta) -> None:
+        """Nobody but this leader has answered a worker since then, by the word of all."""
+        term = self.term
+        if moment < term.began:
+            span = (term.began - moment).total_seconds()
+            log.info("nobody has answered a worker for %.1f s before this term", span)
+            term.clear_at = moment if term.clear_at is None else min(term.clear_at, moment)
+            self.bookkeeper.quiet_since(moment)
+
     def wake(self, why: str) -> None:
         """Something has happened that the rule should look at."""
         self.woken.set()
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -145,6 +145,8 @@
         #: How long this controller lets a better one stand first; asked once for each vacancy.
         self.defer: Callable[[], timedelta] = lambda: ZERO
         self._deferred = False
+        #: The last moment at which this process, or one before it, may have answered a worker.
+        self.held_at = clock.now()
         self._offer: Offer | None = None
         self._offered = asyncio.Event()
 
@@ -163,6 +165,10 @@
             return None
         return term if self.clock.now() < max(term.valid_until, term.promised_until) else None
 
+    def quiet_for(self) -> timedelta:
+        """For how long nobody can have been answered by a term of this controller."""
+        return ZERO if self.term is not None else self.clock.now() - self.held_at
+
     def nobody_holds(self) -> None:
         """Every other controller has told that it holds no term, asked after this process began.
 
@@ -369,6 +375,7 @@
             clearing.cancel()
             term.over.set()
             self.term = None
+            self.held_at = self.clock.now()
             self._learn(None)
             self.on_change()
             log.warning("no longer leading with epoch %d", term.epoch)
--- a/dappledrum/node.py
+++ b/dappledrum/node.py
@@ -62,6 +62,8 @@
 KNOCK_TIME = timedelta(seconds=10)
 VERSION_PAUSES = (timedelta(milliseconds=250), timedelta(seconds=2))  # the first, the longest
 HOLDERS_TIME = timedelta(milliseconds=200)
+QUIET_MOST = timedelta(minutes=10)
+QUIET_ASKED = timedelta(seconds=5)  # a controller that is not there by then says nothing new
 AVOID = timedelta(seconds=20)
 PASSED_WAIT = timedelta(milliseconds=300)  # a passed report's answer waits for work no longer
 #: What is left of a cancellation's time when a leader that a majority, but not all, have promised
@@ -189,14 +191,28 @@
                 self._job_ended,
                 self.pulse.awake_since,
             )
+            asking = asyncio.ensure_future(self._ask_quiet(self.leader))
             try:
                 await self.leader.run()
             except Exception:
                 log.exception("leading failed")
                 term.over.set()
             finally:
+                asking.cancel()
                 self.leader = None
 
+    async def _ask_quiet(self, leader: Leader) -> None:
+        """Ask since when nobody can have answered a worker any more; it matters when all were
+        down, or the one that led is there again."""
+        began = leader.term.began
+        own = self.elector.held_at
+        while self.clock.now() - began < QUIET_ASKED:
+            quiet = await self.peers.quiet(HOLDERS_TIME)
+            if quiet is not None:
+                leader.quiet_since(max(own, self.clock.now() - quiet))
+                return
+            await asyncio.sleep(HOLDERS_TIME.total_seconds())
+
     def _job_ended(self, job: Job) -> None:
         self.intake.remember(job.id, job.ended_record())
 
@@ -499,7 +515,9 @@
         if isinstance(question, HandOver):
             return HandOverReply(await self.elector.take_over(question))
         if isinstance(question, HoldingQuestion):
-            return HoldingReply(self.elector.holding() is not None)
+            quiet = min(self.elector.quiet_for(), QUIET_MOST)
+            holds = self.elector.holding() is not None
+            return HoldingReply(holds, int(quiet.total_seconds() * 1000))
         if isinstance(question, VersionQuestion):
             return VersionReply(__version__)
         if isinstance(question, KnocksQuestion):
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+from dappledrum.clock import shorter
 from dappledrum.http.client import Caller, NoResponseError
 from dappledrum.leadership.elector import Answers, majority
 from dappledrum.leadership.messages import (
@@ -112,8 +113,21 @@
 
     async def nobody_holds(self, timeout: timedelta) -> bool:
         """Whether every other controller tells that it holds no term."""
+        return all(r is not None and not r.holds for r in await self._holders(timeout))
+
+    async def quiet(self, timeout: timedelta) -> timedelta | None:
+        """For how long none of the others has answered a worker by a term of its own; None when
+        one does not tell."""
+        spans = []
+        for reply in await self._holders(timeout):
+            if reply is None or reply.quiet_ms is None:
+                return None
+            spans.append(shorter(timedelta(milliseconds=reply.quiet_ms)))
+        return min(spans, default=None)
+
+    async def _holders(self, timeout: timedelta) -> list[HoldingReply | None]:
         asked = [self._ask(m, HoldingQuestion(), HoldingReply, timeout) for m in self.callers]
-        return all(reply is not None and not reply.holds for reply in await asyncio.gather(*asked))
+        return await asyncio.gather(*asked)
 
     async def version(self, member: str, timeout: timedelta) -> str | None:
         """The version that a peer runs, if it tells."""
--- a/dappledrum/peers/messages.py
+++ b/dappledrum/peers/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dappledrum.leadership.messages import (
+    Age,
     HandOver,
     HandOverReply,
     PromiseReply,
@@ -69,9 +70,15 @@
 
 
 class HoldingReply(msgspec.Struct):
-    """Whether the controller holds a term, be it by its lease or by promises."""
+    """Whether the controller holds a term, be it by its lease or by promises.
+
+    `quiet_ms` is for how long it has certainly answered no worker by a term of its own: since its
+    last one ended, or its process began; no more than QUIET_MOST is told, and nothing by versions
+    before 0.6.0.
+    """
 
     holds: bool
+    quiet_ms: Age | None = None
 
 
 Question = (
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -11,7 +11,8 @@
 - the cloud's word that the machine was returned;
 - silence for longer than a lease, drift included, since the last answer that anyone can have
   given: this leader, or one before it until this one took over, or, if a majority of the
-  controllers could not be asked then, until it has told that it holds to no promise.
+  controllers could not be asked then, until it has told that it holds to no promise; or until
+  earlier, if all the others tell this leader since when they have held no term.
 """
 
 import logging
@@ -66,6 +67,7 @@
         self.mark = mark
         self.wake = wake
         self.cache_gb: dict[str, float] = {}
+        self.quiet: timedelta | None = None  # nobody else has answered since; None: not told
 
     # reports
 
@@ -364,13 +366,20 @@
         """Have a task stopped; it counts as on its machine until that is proven otherwise."""
         placement.lost = True
 
+    def quiet_since(self, moment: timedelta) -> None:
+        """No predecessor has answered any worker after this."""
+        self.quiet = moment
+        for machine in self.roster:
+            if machine.last_report is None:
+                machine.last_answer = min(machine.last_answer, moment)
+
     def restore(self, job: Job) -> None:
         """Take over the placements of a predecessor, which may have answered any worker until
         now."""
         now = self.clock.now()
         for placement in job.placements():
             machine = self.roster.ensure(placement.machine, None, now)
-            machine.last_answer = now
+            machine.last_answer = now if self.quiet is None else min(now, self.quiet)
             machine.placements[(job.id, placement.task)] = placement
             age = self.clock.today() - placement.placed_at
             placement.running_at = now - max(age, ZERO)
