Leader, dispatcher, node, wiring and time leave the package's root for slices of their own

Change: leading/, controller/ (with the tests of whole controllers), timing/; the dispatcher parts along its duties into work, machines, placing, preemption and savings. The operator's Tuning goes to settings. No change of behaviour.

--- a/dappledrum/accounts/ledger.py
+++ b/dappledrum/accounts/ledger.py
@@ -12,10 +12,10 @@
 from datetime import timedelta
 
 from dappledrum.accounts.entries import Entry, Want, why_idle
-from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.messages import MachineType
 from dappledrum.jobs.record import Placement
 from dappledrum.scheduling.lanes import Kind, Size
+from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.workers.roster import Machine, Roster
 
 log = logging.getLogger(__name__)
--- a/dappledrum/accounts/test_accounts.py
+++ b/dappledrum/accounts/test_accounts.py
@@ -9,12 +9,12 @@
 from dappledrum.accounts.entries import Entry, Want, why_idle
 from dappledrum.accounts.ledger import Ledger, shown
 from dappledrum.accounts.served import Served
-from dappledrum.clock import seconds
 from dappledrum.fleet.messages import MachineType
 from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
 from dappledrum.jobs.record import Job
 from dappledrum.scheduling.lanes import Kind, Size
 from dappledrum.standins.world import TYPES, job
+from dappledrum.timing.clock import seconds
 from dappledrum.workers.roster import Roster
 
 MODEL = msgspec.convert(TYPES[0], MachineType)
--- a/dappledrum/chains/resolver.py
+++ b/dappledrum/chains/resolver.py
@@ -7,11 +7,11 @@
 import msgspec
 
 from dappledrum.chains.graph import Graph, shown
-from dappledrum.clock import Clock
 from dappledrum.jobs.messages import EndedRecord
 from dappledrum.jobs.record import ended_key, head_key
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import State, StateError
+from dappledrum.timing.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/dappledrum/controller/__init__.py
@@ -0,0 +1,1 @@
+"""One controller, and its sockets; tests of whole controllers."""
--- a/dappledrum/node.py
+++ b/dappledrum/controller/node.py
@@ -10,18 +10,15 @@
 import msgspec
 
 from dappledrum import __version__
-from dappledrum.clock import ZERO, Clock
-from dappledrum.dispatch import Tuning
 from dappledrum.fleet.cloud import Cloud, CloudError
 from dappledrum.fleet.messages import Catalog, MachineType
 from dappledrum.http.client import Caller
 from dappledrum.http.server import Request, Response
 from dappledrum.jobs.intake import Intake, busy, refusal
 from dappledrum.jobs.record import Job
-from dappledrum.leader import IDLE_MOST, Leader
 from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.messages import HandOver, HandOverReply, PromiseReply, Standing
-from dappledrum.patience import Pulse
+from dappledrum.leading.leader import IDLE_MOST, Leader
 from dappledrum.peers.client import Peers
 from dappledrum.peers.messages import (
     HoldingQuestion,
@@ -42,12 +39,14 @@
 from dappledrum.peers.versions import GANGS, REACH, at_least
 from dappledrum.reach.messages import Passed, PassedReply, Words
 from dappledrum.reach.service import Probe, Reach
-from dappledrum.settings import Settings
+from dappledrum.settings import Settings, Tuning
 from dappledrum.state.budget import Rank
 from dappledrum.state.ceiling import Ceiling
 from dappledrum.state.client import State, StateError, raw
 from dappledrum.state.messages import Guard, Put
-from dappledrum.troubles import Trouble
+from dappledrum.timing.clock import ZERO, Clock
+from dappledrum.timing.patience import Pulse
+from dappledrum.timing.troubles import Trouble
 from dappledrum.workers.knocks import Knocks, shunned
 from dappledrum.workers.messages import Commands, Redirect, Report
 
--- a/dappledrum/test_freeze.py
+++ b/dappledrum/controller/test_freeze.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from dappledrum.clock import Clock
-from dappledrum.patience import Patience, Pulse
+from dappledrum.controller.test_world import day, machines_taken, rolled, short_outage
 from dappledrum.standins.time import PROCESS, VirtualLoop, run
 from dappledrum.standins.world import World, job
-from dappledrum.test_world import day, machines_taken, rolled, short_outage
+from dappledrum.timing.clock import Clock
+from dappledrum.timing.patience import Patience, Pulse
 
 
 def pausing(which, seconds):
--- a/dappledrum/test_idle.py
+++ b/dappledrum/controller/test_idle.py
@@ -62,10 +62,12 @@
         await world.wait(3)
         leader = world.nodes[world.leader()].leader
         [machine] = [m for m in leader.roster if m.placements]
-        assert leader.dispatcher.may_wait(machine, timedelta(seconds=2))
-        assert not leader.dispatcher.may_wait(machine, timedelta(seconds=29))
-        leader.dispatcher.sizes = {Size(16.0, 0.0, 1.0)}  # nothing that would fit beside it
-        assert not leader.dispatcher.may_wait(machine, timedelta(seconds=2))
+        assert leader.dispatcher.machines.may_wait(machine, timedelta(seconds=2))
+        assert not leader.dispatcher.machines.may_wait(machine, timedelta(seconds=29))
+        leader.dispatcher.machines.sizes = {
+            Size(16.0, 0.0, 1.0)
+        }  # nothing that would fit beside it
+        assert not leader.dispatcher.machines.may_wait(machine, timedelta(seconds=2))
 
     run(main())
 
--- a/dappledrum/test_large.py
+++ b/dappledrum/controller/test_large.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from dappledrum.controller.test_world import leader_killed, rolled, short_outage
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
-from dappledrum.test_world import leader_killed, rolled, short_outage
 
 FIVE = tuple(f"drummer-{index}" for index in range(5))
 
--- a/dappledrum/test_swarm.py
+++ b/dappledrum/controller/test_swarm.py
@@ -65,7 +65,7 @@
         await world.submit(job(100, beats=9))
         await world.wait(2)
         dispatcher = world.nodes[world.leader()].leader.dispatcher
-        bags = dispatcher._bags(dispatcher.clock.now())
+        bags = dispatcher.work.bags(dispatcher.clock.now(), 0.0)
         sizes = Counter()
         for bag in bags:
             sizes[bag.image, bag.total == 9] += bag.ready
--- a/dappledrum/test_wiring.py
+++ b/dappledrum/controller/test_wiring.py
@@ -5,9 +5,8 @@
 
 import msgspec
 
-from dappledrum import wiring
-from dappledrum.dispatch import Tuning
-from dappledrum.settings import Settings
+from dappledrum.controller import wiring
+from dappledrum.settings import Settings, Tuning
 from dappledrum.test_main import good
 
 
--- a/dappledrum/wiring.py
+++ b/dappledrum/controller/wiring.py
@@ -6,12 +6,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from dappledrum.clock import Clock
-from dappledrum.dispatch import Tuning
+from dappledrum.controller.node import Node
 from dappledrum.http.client import Client, NoResponseError
 from dappledrum.http.server import LISTEN, Server
-from dappledrum.node import Node
-from dappledrum.settings import Settings, split_address
+from dappledrum.settings import Settings, Tuning, split_address
+from dappledrum.timing.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/dappledrum/dispatch/machines.py
@@ -0,0 +1,179 @@
+"""Machines as the planner sees them: lanes of those that are there or come, and kinds to rent."""
+
+from datetime import timedelta
+
+from dappledrum.fleet.keeper import RENT_MOST, Keeper
+from dappledrum.jobs.messages import Form
+from dappledrum.jobs.record import Job, Placement
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.scheduling.lanes import Kind, Lanes, Offer, Size
+from dappledrum.settings import Params
+from dappledrum.timing.clock import ZERO, Clock
+from dappledrum.workers.roster import Machine, Roster
+
+LONG = timedelta(days=1)  # services run until they are cancelled
+IDLE_SPARED = 0.25  # share of the spot machines that idle work leaves free
+IDLE_RENTED = 0.05  # share of the fleet that may be rented for it by one plan in calm times
+
+
+class Machines:
+    """The fleet's room, now and later."""
+
+    def __init__(
+        self,
+        jobs: dict[str, Job],
+        roster: Roster,
+        estimates: Estimates,
+        keeper: Keeper,
+        params: Params,
+        clock: Clock,
+    ) -> None:
+        self.jobs = jobs
+        self.roster = roster
+        self.estimates = estimates
+        self.keeper = keeper
+        self.params = params
+        self.clock = clock
+        self.sizes: set[Size] = set()  # of the tasks of live jobs
+        self.awake_since = ZERO
+        self._moments: dict[str, tuple[timedelta, timedelta]] = {}  # for one plan
+
+    def refresh(self) -> None:
+        """Work out anew what the lanes of a plan rest on."""
+        self.awake_since = self.keeper.awake_since()
+        self.sizes = {
+            Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for job in self.jobs.values()
+        }
+        self._moments = {}
+
+    def lanes(self, now: timedelta) -> list[Lanes]:
+        """One for each machine that new work may use, now or later."""
+        return [view for machine in self.roster if (view := self._lanes(machine, now)) is not None]
+
+    def may_wait(self, machine: Machine, span: timedelta) -> bool:
+        """Whether a busy machine has room for more, and none of its tasks is expected to end in
+        this time: the report of an end would wait for the answer to the report before."""
+        model = self.keeper.types.get(machine.kind.type) if machine.kind is not None else None
+        if model is None or not machine.usable or machine.recall_at is not None:
+            return False
+        now = self.clock.now()
+        free = Size(model.cpus, model.gpus, model.memory_gb)
+        for placement in machine.placements.values():
+            job = placement.page.job
+            if placement.running_at is None or placement.lost or job.cancelled:
+                return False
+            if (
+                job.spec.form is not Form.SERVICE
+                and now + span > placement.running_at + self._mean(job)
+            ):
+                return False
+            free = free.minus(Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb))
+        return any(free.times(size) for size in self.sizes)
+
+    def available(self) -> list[str]:
+        """Machines that new work may use at this moment, for the account."""
+        now = self.clock.now()
+        return [m.name for m in self.roster if m.up and self._takes_work(m, now)]
+
+    def _takes_work(self, machine: Machine, now: timedelta) -> bool:
+        """Whether something new may be put on a machine, now or when it is up."""
+        if not machine.usable:
+            return False
+        report = self.params.workers.report
+        return not machine.up or not (
+            machine.silent(now, report, self.awake_since) or now < machine.blocked_until
+        )
+
+    def _mean(self, job: Job) -> timedelta:
+        return self.estimates.moments(job.id, job.spec.job_class, job.spec.estimate)[0]
+
+    def _lanes(self, machine: Machine, now: timedelta) -> Lanes | None:
+        kind = machine.kind
+        model = self.keeper.types.get(kind.type) if kind is not None else None
+        if kind is None or model is None or not self._takes_work(machine, now):
+            return None
+        if not machine.up and machine.placements and not machine.expected_back:
+            return None
+        ready_at = now if machine.up else self.keeper.ready_at(machine)
+        until = None if machine.recall_at is None else machine.recall_at - timedelta(seconds=1)
+        lanes = Lanes(
+            machine.name,
+            kind,
+            Size(model.cpus, model.gpus, model.memory_gb),
+            ready_at,
+            machine.rented_at,
+            model.hourly(kind.spot),
+            model.fetch_gb_per_s,
+            self.keeper.interval(kind),
+            until,
+            booting=not machine.up,
+        )
+        for image in machine.images:
+            lanes.images[image] = ready_at
+        for placement in machine.placements.values():
+            spec = placement.page.job.spec
+            lanes.reserve(
+                ready_at,
+                max(ready_at, self._finish(placement, lanes, now)),
+                Size(spec.cpus, spec.gpus, spec.memory_gb),
+            )
+            lanes.expect(spec.image, spec.image_gb, now)
+        return lanes
+
+    def _finish(self, placement: Placement, lanes: Lanes, now: timedelta) -> timedelta:
+        """When a task that is on a machine is expected to be off it."""
+        job = placement.page.job
+        if placement.lost or job.cancelled:
+            return now + self.params.workers.report * 2
+        if job.spec.form is Form.SERVICE:
+            return now + LONG
+        known = self._moments.get(job.id)
+        if known is None:
+            known = self._moments[job.id] = self.estimates.moments(
+                job.id, job.spec.job_class, job.spec.estimate
+            )
+        mean, deviation = known
+        if placement.running_at is None:
+            return now + lanes.duration(mean + deviation, job.spec.image, job.spec.image_gb, now)
+        left = mean + deviation - (now - placement.running_at)
+        return now + max(left, deviation / 2, timedelta(seconds=1))
+
+    def idle_room(self, lanes: list[Lanes], calm: bool) -> float:
+        """CPUs that work may take in this plan which nobody expects by any time: what is free on
+        machines that are paid for anyway, less some for what comes unexpected; and in calm times a
+        few machines more. It runs for minutes, so it would fit into no billed interval, and
+        planned afresh with a far deadline it would be put off for ever."""
+        up = [view for view in lanes if not view.booting]
+        total = free = 0.0
+        for view in up:
+            total += view.capacity
+            free += max(0.0, view.free[0].cpus)
+        more = 0.0
+        if calm:
+            largest = max((model.cpus for model in self.keeper.types.values()), default=0.0)
+            more = max(IDLE_RENTED * sum(view.capacity for view in lanes), largest)
+        return max(0.0, free - IDLE_SPARED * total) + more
+
+    def offers(self) -> list[Offer]:
+        """Kinds that may be asked for now."""
+        result = []
+        for model in self.keeper.types.values():
+            for zone in model.zones:
+                for spot in (True, False):
+                    kind = Kind(model.name, zone, spot)
+                    if (spot and model.spot_price is None) or not self.keeper.offered(kind):
+                        continue
+                    capacity = Size(model.cpus, model.gpus, model.memory_gb)
+                    boot = self.keeper.boots.expected(kind)
+                    result.append(
+                        Offer(
+                            kind,
+                            capacity,
+                            model.hourly(spot),
+                            boot,
+                            model.fetch_gb_per_s,
+                            self.keeper.interval(kind),
+                            RENT_MOST,
+                        )
+                    )
+        return result
--- /dev/null
+++ b/dappledrum/dispatch/placing.py
@@ -0,0 +1,114 @@
+"""What a plan starts, counted as on its machine before anybody is told."""
+
+import logging
+from collections.abc import Callable
+
+from dappledrum.dispatch.work import Work
+from dappledrum.gangs.whole import is_gang
+from dappledrum.jobs.messages import RANKS, Priority
+from dappledrum.jobs.record import Job, Page
+from dappledrum.settings import Params
+from dappledrum.timing.clock import Clock
+from dappledrum.workers.roster import Roster
+
+log = logging.getLogger(__name__)
+
+RECORDS_AHEAD = 1.0  # seconds' worth of changes that starts of low urgency may queue up
+
+
+class Placing:
+    """Places tasks; their records are written next."""
+
+    def __init__(
+        self,
+        work: Work,
+        roster: Roster,
+        params: Params,
+        clock: Clock,
+        mark: Callable[[Page], None],
+        backlog: Callable[[], int],
+        page_bytes: int | None,
+    ) -> None:
+        self.work = work
+        self.jobs = work.jobs
+        self.roster = roster
+        self.params = params
+        self.clock = clock
+        self.mark = mark
+        self.backlog = backlog
+        self.page_bytes = page_bytes or params.state.value_bytes
+
+    def start(self, starts: list[tuple[str, str, int]]) -> None:
+        """Place what one step of the plan starts."""
+        gangs: dict[str, list[tuple[str, int]]] = {}
+        for bag, name, count in starts:
+            job = self.jobs.get(bag)
+            if job is not None and is_gang(job):
+                gangs.setdefault(bag, []).append((name, count))
+            else:
+                self._place_some(bag, name, count)
+        for bag, shares in gangs.items():
+            self._place_whole(self.jobs[bag], shares)
+
+    def _place_whole(self, job: Job, shares: list[tuple[str, int]]) -> None:
+        """Place all tasks of a gang, or none: nothing of it is written before this is over, as
+        nobody else gets a turn meanwhile."""
+        if job.on_machines() or sum(count for _, count in shares) < job.waiting():
+            return
+        # Workers run a gang once all of one attempt are there, so its members share the number.
+        attempt = job.next_attempt()
+        placed = sum(self._place(job.id, name, count, attempt) for name, count in shares)
+        if job.waiting() == 0 or placed == 0:
+            return
+        log.info("%s is not placed: room for %d of %d tasks", job.id, placed, job.spec.tasks)
+        for placement in list(job.placements()):
+            machine = self.roster.get(placement.machine)
+            if machine is not None:
+                machine.placements.pop((job.id, placement.task), None)
+            placement.page.remove(placement.task)
+
+    def _place_some(self, bag: str, name: str, count: int) -> None:
+        """Place tasks of a bag, which may be those of several jobs."""
+        members = self.work.members.get(bag)
+        if members is None:
+            self._place(bag, name, count)
+            return
+        while members and count > 0:
+            count -= self._place(members[0].id, name, count)
+            if count > 0 or members[0].waiting() <= 0:
+                members.pop(0)
+
+    def _place(self, job_id: str, name: str, count: int, attempt: int | None = None) -> int:
+        """Count tasks as on a machine, if both are still as they were when the plan began;
+        returns how many."""
+        job = self.jobs.get(job_id)
+        machine = self.roster.get(name)
+        if machine is None or machine.kind is None or not machine.usable:
+            return 0
+        if job is None or job.cancelled or job.over or job.unmet:
+            return 0
+        if job.rank >= RANKS[Priority.LOW] and self._records_late():
+            return 0  # room held for a start that can't be recorded yet is room lost
+        asked = count
+        today = self.clock.today()
+        limit = self.page_bytes
+        for page in job.free_tasks():
+            bound, row = page.size_bound(name, today), page.row_bound(today)
+            for task in page.free():
+                if count <= 0 or bound > limit:
+                    break
+                placement = page.place(
+                    task, name, machine.session, machine.kind.zone, today, attempt
+                )
+                machine.placements[(job.id, task)] = placement
+                machine.given.set()
+                count -= 1
+                bound += row
+            self.mark(page)
+            if count <= 0:
+                break
+        return asked - count
+
+    def _records_late(self) -> bool:
+        """More starts wait for their records than the rate of changes takes in a moment."""
+        return self.backlog() > max(8.0, self.params.state.write_rps * RECORDS_AHEAD)
--- /dev/null
+++ b/dappledrum/dispatch/preemption.py
@@ -0,0 +1,96 @@
+"""Work that is stopped for more urgent work, as far as the protocol allows."""
+
+import logging
+from datetime import timedelta
+
+from dappledrum.fleet.keeper import Keeper
+from dappledrum.gangs.whole import give_up, is_gang
+from dappledrum.jobs.messages import RANKS, Priority
+from dappledrum.jobs.record import Job, Placement
+from dappledrum.scheduling.lanes import Size
+from dappledrum.scheduling.plan import Bag
+from dappledrum.scheduling.preempt import Host, Victim, choose
+from dappledrum.settings import Params
+from dappledrum.timing.clock import ZERO
+from dappledrum.workers.roster import Roster
+
+log = logging.getLogger(__name__)
+
+MOST_STOPPED = 16  # tasks of one job that one plan makes room for
+
+
+class Preemption:
+    """Makes room for what would be late."""
+
+    def __init__(self, roster: Roster, keeper: Keeper, params: Params) -> None:
+        self.roster = roster
+        self.keeper = keeper
+        self.params = params
+
+    def make_room(
+        self,
+        job: Job,
+        bag: Bag,
+        late: int,
+        now: timedelta,
+        guaranteed: set[str],
+        yielding: set[str],
+    ) -> None:
+        """Make room for what would be late: a team's guarantee against borrowers, `prod`
+        against lower urgency; `yielding` jobs lose nothing by it."""
+        # High urgency may stop lower work, too, but what it gained the stopped work lost twice;
+        # unless the work keeps its progress, and nobody waits for it.
+        gentle = job.id not in guaranteed and job.rank != RANKS[Priority.PRODUCTION]
+        if gentle and not yielding:
+            return
+        # Stopping takes a report to be told, and one to be seen.
+        if now + self.params.workers.report * 2 + bag.run > bag.due and job.id not in guaranteed:
+            return
+        hosts = []
+        for machine in self.roster:
+            model = self.keeper.types.get(machine.kind.type) if machine.kind is not None else None
+            if (
+                model is None
+                or machine.kind is None
+                or not machine.up
+                or not bag.allowed(machine.kind)
+            ):
+                continue
+            if machine.returning or machine.draining or machine.recall_at is not None:
+                continue
+            free = Size(model.cpus, model.gpus, model.memory_gb)
+            victims = []
+            for placement in machine.placements.values():
+                other = placement.page.job
+                size = Size(other.spec.cpus, other.spec.gpus, other.spec.memory_gb)
+                free = free.minus(size)
+                if placement.lost or (gentle and other.id not in yielding):
+                    continue
+                if self._yields(other, job, guaranteed):
+                    ran = ZERO if placement.running_at is None else now - placement.running_at
+                    if other.spec.checkpoint_s > 0:
+                        ran = min(ran, other.spec.save)
+                    # A gang goes whole, so each of its tasks costs all of them.
+                    ran *= other.on_machines() if is_gang(other) else 1
+                    victims.append(Victim(placement, size, ran))
+            hosts.append(Host(machine.name, free, victims))
+        most = late if bag.gang else min(late, MOST_STOPPED)
+        for victim in choose(bag.size, most, hosts, whole=bag.gang):
+            assert isinstance(victim, Placement)
+            log.info("stopping %s/%d for %s", victim.page.job.id, victim.task, job.id)
+            victim.lost = True
+            if is_gang(victim.page.job):
+                give_up(victim.page.job)
+
+    @staticmethod
+    def _yields(other: Job, job: Job, guaranteed: set[str]) -> bool:
+        """Whether the protocol lets a task of the one job be stopped for the other."""
+        if other.id in guaranteed and job.id not in guaranteed:
+            return False
+        if other.rank > job.rank:
+            return True
+        return (
+            job.id in guaranteed
+            and other.id not in guaranteed
+            and other.spec.team != job.spec.team
+        )
--- /dev/null
+++ b/dappledrum/dispatch/savings.py
@@ -0,0 +1,144 @@
+"""Cheaper machines for what runs, and dear ones that only idle work holds."""
+
+import logging
+import math
+from datetime import timedelta
+
+from dappledrum.dispatch.machines import Machines
+from dappledrum.fleet.keeper import RENT_MOST, Keeper
+from dappledrum.fleet.messages import MachineType
+from dappledrum.jobs.messages import Form
+from dappledrum.jobs.record import Job
+from dappledrum.scheduling.lanes import Kind, Lanes, Size
+from dappledrum.scheduling.plan import Plan
+from dappledrum.settings import Params
+from dappledrum.workers.roster import Machine, Roster
+
+log = logging.getLogger(__name__)
+
+HEADROOM = 0.1  # share of the spot machines that stays free when ordinary ones are let go
+SWAPPED = 0.1  # share of the fleet for which cheaper machines are rented at a time
+
+
+class Savings:
+    """Lets ordinary machines go."""
+
+    def __init__(
+        self,
+        jobs: dict[str, Job],
+        roster: Roster,
+        machines: Machines,
+        keeper: Keeper,
+        params: Params,
+    ) -> None:
+        self.jobs = jobs
+        self.roster = roster
+        self.machines = machines
+        self.keeper = keeper
+        self.params = params
+
+    def cheapen(self, plan: Plan, lanes: list[Lanes]) -> None:
+        """Let spot machines carry what ordinary ones do, as far as they have room to spare.
+
+        A large machine is never idle at the end of an interval while small tasks come and go, and
+        what has an image finishes first there, so the ordinary machines of one bad moment stayed
+        for the day while spot machines beside them fell idle and went back. So an ordinary machine
+        gets no new work once spot machines have as much room free, after all that the plan counts
+        on, and some to spare; whether something is late does not matter then, as it could start in
+        that room. In calm times spot machines are rented beside them, too. Without spare room,
+        and with anything late, all machines are used.
+        """
+        retiring = [machine for machine in self.roster if machine.retiring]
+        spare = self._spare(lanes) - sum(self._used(machine) for machine in retiring)
+        bound = any(not job.spec.spot for job in self.jobs.values())
+        if bound or (plan.late and spare <= 0):
+            for machine in retiring:
+                machine.retiring = False
+            return
+        ordinary = [
+            (view, machine)
+            for view in lanes
+            if not view.kind.spot
+            and not view.booting
+            and (machine := self.roster.get(view.machine)) is not None
+            and self._has_spot(self.keeper.types.get(view.kind.type))
+            and all(p.page.job.spec.form is not Form.SERVICE for p in machine.placements.values())
+        ]
+        ordinary.sort(key=lambda pair: (-pair[0].hourly_cpu, len(pair[1].placements)))
+        left = 0.0
+        for _, machine in ordinary:
+            used = self._used(machine)
+            if used < spare:
+                log.info("%s gets no new work: spot machines have room for it", machine.name)
+                machine.retiring = True
+                spare -= used
+            else:
+                left += used
+        # What would go back is worth more as room for what ordinary machines still do.
+        self.keeper.keep_spot = bool(ordinary)
+        if left > 0 and not plan.late and not plan.rentals:
+            plan.rentals.update(self._swap(left - spare, lanes))
+
+    def _swap(self, cpus: float, lanes: list[Lanes]) -> dict[Kind, int]:
+        """Spot machines to rent for work that now runs on ordinary ones: the cheapest on which all
+        that is live fits, a tenth of the fleet at a time."""
+        coming = sum(view.capacity for view in lanes if view.booting and view.kind.spot)
+        cpus = min(cpus, SWAPPED * sum(view.capacity for view in lanes)) - coming
+        result: dict[Kind, int] = {}
+        models = [m for m in self.keeper.types.values() if m.cpus > 0 and self._has_spot(m)]
+        for model in sorted(models, key=lambda m: m.hourly(True) / m.cpus):
+            whole = Size(model.cpus, model.gpus, model.memory_gb)
+            if any(whole.times(size) < 1 for size in self.machines.sizes):
+                continue
+            for zone in model.zones:
+                kind = Kind(model.name, zone, True)
+                count = min(math.ceil(cpus / model.cpus), RENT_MOST)
+                if count > 0 and self.keeper.offered(kind):
+                    result[kind] = count
+                    cpus -= count * model.cpus
+        return result
+
+    @staticmethod
+    def _used(machine: Machine) -> float:
+        """CPUs that tasks hold on a machine."""
+        return sum(p.page.job.spec.cpus for p in machine.placements.values())
+
+    @staticmethod
+    def _has_spot(model: MachineType | None) -> bool:
+        """Whether a machine of the type would cost less as a spot machine."""
+        return (
+            model is not None and model.spot_price is not None and model.spot_price < model.price
+        )
+
+    def _spare(self, lanes: list[Lanes]) -> float:
+        """CPUs on spot machines that are up and that the plan has no use for, in room for the
+        largest tasks, less a share that stays free."""
+        spot = [view for view in lanes if view.kind.spot and not view.booting]
+        free = 0.0
+        for view in spot:
+            model = self.keeper.types[view.kind.type]
+            whole = Size(model.cpus, model.gpus, model.memory_gb)
+            fitting = [size for size in self.machines.sizes if whole.times(size) >= 1]
+            size = max(fitting, key=lambda one: one.cpus, default=whole)
+            free += view.free[0].times(size) * size.cpus
+        return free - HEADROOM * sum(view.capacity for view in spot)
+
+    def release_from_idle(self, plan: Plan, now: timedelta, yielding: set[str]) -> None:
+        """An ordinary machine on which only idle work is left goes back like an idle one.
+
+        Only work that keeps its progress is placed there, and it is stopped in time to save.
+        """
+        report = self.params.workers.report
+        for machine in self.roster:
+            if machine.kind is None or machine.kind.spot or machine.name in plan.needed:
+                continue
+            jobs = [p.page.job for p in machine.placements.values()]
+            if not jobs or machine.retiring or any(j.id not in yielding for j in jobs):
+                continue
+            interval = self.keeper.interval(machine.kind)
+            left = interval - (now - machine.rented_at) % interval
+            if left <= report * 3 + max(j.spec.save for j in jobs) * 1.5 + timedelta(seconds=1):
+                log.info("%s gets no new work: only idle work is left on it", machine.name)
+                machine.retiring = True
+                for placement in machine.placements.values():
+                    placement.lost = True
--- a/dappledrum/fleet/boots.py
+++ b/dappledrum/fleet/boots.py
@@ -14,8 +14,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from dappledrum.clock import ZERO
 from dappledrum.scheduling.lanes import Kind
+from dappledrum.timing.clock import ZERO
 
 PRIOR_WEIGHT = 2.0  # boots that weigh as much as the catalog's figure
 HALF_LIFE = timedelta(minutes=1)  # after which a boot that was seen weighs half
--- a/dappledrum/fleet/cloud.py
+++ b/dappledrum/fleet/cloud.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.messages import (
     Catalog,
     ListedMachine,
@@ -19,6 +18,7 @@
 )
 from dappledrum.http.client import Caller, NoResponseError, Reply
 from dappledrum.reach.links import Link
+from dappledrum.timing.clock import ZERO, Clock
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.boots import Boots, Waiting
 from dappledrum.fleet.cloud import Cloud, CloudError, NoCapacityError
 from dappledrum.fleet.messages import ListedMachine, MachineType, RentalRequest
 from dappledrum.recovery.back import back_in
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.settings import Params
-from dappledrum.troubles import Trouble
+from dappledrum.timing.clock import ZERO, Clock
+from dappledrum.timing.troubles import Trouble
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.roster import Machine, Roster
 
--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -7,10 +7,10 @@
 
 from datetime import UTC, datetime, timedelta
 
-from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.messages import BootingRecord, FleetRecord
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.state.hint import Hint
+from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.workers.roster import Roster
 
 FLEET = "fleet"
--- a/dappledrum/fleet/messages.py
+++ b/dappledrum/fleet/messages.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec import Meta
 
-from dappledrum.clock import seconds
+from dappledrum.timing.clock import seconds
 
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
 Text = Annotated[str, Meta(min_length=1, max_length=300)]
--- a/dappledrum/fleet/test_boots.py
+++ b/dappledrum/fleet/test_boots.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from dappledrum.clock import seconds
 from dappledrum.fleet.boots import Boots, Waiting
 from dappledrum.scheduling.lanes import Kind
+from dappledrum.timing.clock import seconds
 
 HERE, THERE = Kind("small", "a", True), Kind("large", "b", False)
 
--- a/dappledrum/fleet/test_keeper.py
+++ b/dappledrum/fleet/test_keeper.py
@@ -3,7 +3,6 @@
 import asyncio
 from datetime import timedelta
 
-from dappledrum.clock import Clock, seconds
 from dappledrum.fleet.cloud import CloudError, NoCapacityError
 from dappledrum.fleet.keeper import Keeper
 from dappledrum.fleet.messages import MachineType
@@ -11,6 +10,7 @@
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World
+from dappledrum.timing.clock import Clock, seconds
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.roster import Roster
 
--- a/dappledrum/gangs/test_gangs.py
+++ b/dappledrum/gangs/test_gangs.py
@@ -5,7 +5,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dappledrum.clock import seconds
 from dappledrum.gangs.together import Gang, Search, room_at
 from dappledrum.peers.versions import GANGS, at_least
 from dappledrum.scheduling.lanes import Kind, Lanes, Offer, Size
@@ -13,6 +12,7 @@
 from dappledrum.settings import Team
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
+from dappledrum.timing.clock import seconds
 
 NOW = 100
 rows = st.lists(
--- a/dappledrum/gangs/together.py
+++ b/dappledrum/gangs/together.py
@@ -12,8 +12,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from dappledrum.clock import ZERO
 from dappledrum.scheduling.lanes import SLACK, Kind, Lanes, Offer, Size, fetch_time
+from dappledrum.timing.clock import ZERO
 
 PROBED = 24  # moments tried at first; a fleet has thousands at which something ends
 REFINED = 5
--- a/dappledrum/http/client.py
+++ b/dappledrum/http/client.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from dappledrum.patience import Patience
+from dappledrum.timing.patience import Patience
 
 MAX_REPLY = 64 * 1024 * 1024
 
--- a/dappledrum/http/test_seats.py
+++ b/dappledrum/http/test_seats.py
@@ -8,11 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dappledrum.controller.wiring import sockets
 from dappledrum.http.client import Client
 from dappledrum.http.seats import SPARED, Role, most_workers, to_shed, to_shed_for_worker
 from dappledrum.http.server import ACCEPTED, Response, Server
 from dappledrum.http.test_http import SECOND, echo
-from dappledrum.wiring import sockets
 
 
 @dataclass
--- a/dappledrum/jobs/admission.py
+++ b/dappledrum/jobs/admission.py
@@ -8,11 +8,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from dappledrum.clock import ZERO
 from dappledrum.jobs.record import ended_key, head_key
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import TXN_BYTES, ConflictError, State, StateError
 from dappledrum.state.messages import Guard, Put
+from dappledrum.timing.clock import ZERO
 
 GATHER = timedelta(milliseconds=5)
 AT_ONCE = 4  # one slow answer of the state service must not hold up whoever comes next
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -15,7 +15,6 @@
 
 from dappledrum.accounts.served import described
 from dappledrum.chains.lookup import Lookup
-from dappledrum.clock import Clock
 from dappledrum.fleet.messages import MachineType
 from dappledrum.http.server import Response
 from dappledrum.jobs.admission import Admission
@@ -43,6 +42,7 @@
     raw,
 )
 from dappledrum.state.messages import Guard, Put
+from dappledrum.timing.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta
 
-from dappledrum.clock import seconds
+from dappledrum.timing.clock import seconds
 
 MAX_TASKS = 100_000
 
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from dappledrum.clock import ZERO
 from dappledrum.jobs.messages import (
     RANKS,
     EndedRecord,
@@ -25,6 +24,7 @@
 )
 from dappledrum.jobs.parts import LONG, join_spec, split_rows, split_spec
 from dappledrum.state.messages import Delete, Put
+from dappledrum.timing.clock import ZERO
 
 PAGE = 256  # tasks, at most
 LEAST_PAGE = 8
--- a/dappledrum/jobs/recorder.py
+++ b/dappledrum/jobs/recorder.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from dappledrum.clock import Clock
 from dappledrum.jobs.messages import JobRecord
 from dappledrum.jobs.record import Job, Page, ended_key, head_key, rows_key, spec_key
 from dappledrum.leadership.elector import LEADER, Term
@@ -29,6 +28,7 @@
     raw,
 )
 from dappledrum.state.messages import Delete, Guard, Put
+from dappledrum.timing.clock import Clock
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/jobs/test_recorder.py
+++ b/dappledrum/jobs/test_recorder.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from dappledrum.clock import Clock
 from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
 from dappledrum.jobs.record import Job
 from dappledrum.jobs.recorder import LAZY, Recorder
@@ -15,6 +14,7 @@
 from dappledrum.standins.world import job
 from dappledrum.state.budget import Budget
 from dappledrum.state.ceiling import Ceiling
+from dappledrum.timing.clock import Clock
 
 
 class Slow:
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -15,7 +15,6 @@
 
 import msgspec
 
-from dappledrum.clock import ZERO, Clock, longer, shorter
 from dappledrum.leadership.messages import (
     EpochRecord,
     HandOver,
@@ -36,6 +35,7 @@
     raw,
 )
 from dappledrum.state.messages import Event, Guard, Put
+from dappledrum.timing.clock import ZERO, Clock, longer, shorter
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/leadership/witness.py
+++ b/dappledrum/leadership/witness.py
@@ -11,8 +11,8 @@
 
 from datetime import timedelta
 
-from dappledrum.clock import longer
 from dappledrum.leadership.messages import PromiseReply, PromiseRequest, StandingReply
+from dappledrum.timing.clock import longer
 
 PROMISE = timedelta(seconds=2)
 PROMISE_MOST = timedelta(seconds=60)
--- a/dappledrum/leader.py
+++ b/dappledrum/leading/leader.py
@@ -14,8 +14,7 @@
 from dappledrum.accounts.served import Served, described, ending
 from dappledrum.chains.graph import Graph
 from dappledrum.chains.resolver import Resolver
-from dappledrum.clock import ZERO, Clock
-from dappledrum.dispatch import Dispatcher, Tuning
+from dappledrum.dispatch.dispatcher import Dispatcher
 from dappledrum.fleet.cloud import Cloud
 from dappledrum.fleet.keeper import Keeper
 from dappledrum.fleet.memory import FLEET, FleetMemory
@@ -27,12 +26,13 @@
 from dappledrum.learning.memory import LearnedMemory
 from dappledrum.learning.messages import LearnedRecord
 from dappledrum.scheduling.estimates import Estimates
-from dappledrum.settings import Params
+from dappledrum.settings import Params, Tuning
 from dappledrum.state.budget import Rank
 from dappledrum.state.ceiling import Ceiling
 from dappledrum.state.client import CompactedError, State, StateError
 from dappledrum.state.hint import Hint
 from dappledrum.state.messages import Event
+from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.messages import Commands, Report
 from dappledrum.workers.roster import Machine, Roster
@@ -376,7 +376,9 @@
             while True:
                 await asyncio.sleep(STEP.total_seconds())
                 self.ledger.step(
-                    self.keeper.types, self.dispatcher.wants(), self.dispatcher.available()
+                    self.keeper.types,
+                    self.dispatcher.work.wants(),
+                    self.dispatcher.machines.available(),
                 )
                 self._tell()
         finally:
@@ -465,7 +467,7 @@
             if self.woken.is_set():
                 patience = PLAN_TIME
             hold = min(self.params.workers.report * IDLE_SHARE, most)
-            if not machine.placements or self.dispatcher.may_wait(machine, hold):
+            if not machine.placements or self.dispatcher.machines.may_wait(machine, hold):
                 patience = hold
             machine.given.clear()
             if patience <= ZERO or not await self._happens(machine.given.wait(), patience):
--- a/dappledrum/learning/memory.py
+++ b/dappledrum/learning/memory.py
@@ -10,12 +10,12 @@
 from collections.abc import Mapping
 from datetime import UTC, datetime, timedelta
 
-from dappledrum.clock import ZERO, Clock
 from dappledrum.fleet.boots import SHORTEST, Boot, Boots
 from dappledrum.learning.messages import BootRow, ClassRow, LearnedRecord
 from dappledrum.scheduling.estimates import Estimates, Sample
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.state.hint import Hint
+from dappledrum.timing.clock import ZERO, Clock
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/learning/test_learning.py
+++ b/dappledrum/learning/test_learning.py
@@ -3,7 +3,6 @@
 import msgspec
 import pytest
 
-from dappledrum.clock import seconds
 from dappledrum.fleet.boots import Boots
 from dappledrum.learning.memory import LearnedMemory
 from dappledrum.learning.messages import LearnedRecord
@@ -11,6 +10,7 @@
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
+from dappledrum.timing.clock import seconds
 
 
 class Kept:
--- a/dappledrum/main.py
+++ b/dappledrum/main.py
@@ -82,8 +82,8 @@
 
 def serve(settings: Settings, options: argparse.Namespace) -> int:
     """Run the controller until it is killed."""
-    from dappledrum.dispatch import Tuning
-    from dappledrum.wiring import run_node
+    from dappledrum.controller.wiring import run_node
+    from dappledrum.settings import Tuning
 
     tuning = Tuning(timedelta(seconds=options.interval_s), options.ready_share, options.reach)
     try:
--- a/dappledrum/peers/client.py
+++ b/dappledrum/peers/client.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 from typing import Any
 
-from dappledrum.clock import shorter
 from dappledrum.http.client import Caller, NoResponseError
 from dappledrum.leadership.elector import Answers, majority
 from dappledrum.leadership.messages import (
@@ -32,6 +31,7 @@
     encode,
 )
 from dappledrum.reach.messages import Passed, PassedReply, Words, WordsReply
+from dappledrum.timing.clock import shorter
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/reach/choose.py
+++ b/dappledrum/reach/choose.py
@@ -9,9 +9,9 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from dappledrum.clock import ZERO
 from dappledrum.reach.messages import Word
 from dappledrum.reach.table import Known, Table, reached_at, span
+from dappledrum.timing.clock import ZERO
 
 #: A difference between two links that is worth a move: what moving costs (docs/reach.md).
 WORTH = timedelta(seconds=1)
--- a/dappledrum/reach/links.py
+++ b/dappledrum/reach/links.py
@@ -3,7 +3,7 @@
 from collections import deque
 from datetime import timedelta
 
-from dappledrum.clock import ZERO, Clock
+from dappledrum.timing.clock import ZERO, Clock
 
 KEPT_ADDRESSES = 8
 LOST_AFTER = 2  # probes in a row without an answer
--- a/dappledrum/reach/passing.py
+++ b/dappledrum/reach/passing.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from dappledrum.clock import Clock
+from dappledrum.timing.clock import Clock
 
 GATHER = timedelta(milliseconds=40)  # reports that come together go together
 MOST_BYTES = 48 * 1024  # of a message; the peer takes 64 KiB
--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -11,9 +11,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 
-from dappledrum.clock import ZERO, Clock
 from dappledrum.leadership.elector import Elector
-from dappledrum.patience import Pulse
 from dappledrum.peers.client import Peers
 from dappledrum.reach.choose import (
     WORTH,
@@ -30,6 +28,8 @@
 from dappledrum.reach.passing import Detours, Passing
 from dappledrum.reach.table import Table, ms, span
 from dappledrum.settings import WorkerLimits
+from dappledrum.timing.clock import ZERO, Clock
+from dappledrum.timing.patience import Pulse
 from dappledrum.workers.messages import Report
 
 log = logging.getLogger(__name__)
--- a/dappledrum/reach/table.py
+++ b/dappledrum/reach/table.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from dappledrum.clock import DRIFT, ZERO
 from dappledrum.reach.messages import Word
+from dappledrum.timing.clock import DRIFT, ZERO
 
 FRESH = timedelta(seconds=3.5)  # three words of a second, and a little
 MOST_AGE = timedelta(seconds=10)
--- a/dappledrum/reach/test_words.py
+++ b/dappledrum/reach/test_words.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dappledrum.controller.wiring import _worker_answers
 from dappledrum.peers.messages import MalformedError, decode, encode
 from dappledrum.reach.choose import (
     Claim,
@@ -20,7 +21,6 @@
 from dappledrum.reach.passing import SERVED, Detours
 from dappledrum.reach.table import Known, Table
 from dappledrum.standins.time import SkewedClock, run
-from dappledrum.wiring import _worker_answers
 
 
 def at(seconds):
--- a/dappledrum/recovery/back.py
+++ b/dappledrum/recovery/back.py
@@ -11,7 +11,7 @@
 
 from datetime import timedelta
 
-from dappledrum.clock import ZERO
+from dappledrum.timing.clock import ZERO
 
 #: To give up a controller that does not answer, and to be told whom to turn to instead.
 SEARCH = timedelta(seconds=2)
--- a/dappledrum/scheduling/chains.py
+++ b/dappledrum/scheduling/chains.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from dappledrum.clock import ZERO
+from dappledrum.timing.clock import ZERO
 
 
 class Link(NamedTuple):
--- a/dappledrum/scheduling/deadlines.py
+++ b/dappledrum/scheduling/deadlines.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-from dappledrum.clock import seconds
 from dappledrum.settings import Objective
+from dappledrum.timing.clock import seconds
 
 
 def stage_deadlines(
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -11,10 +11,10 @@
 from datetime import timedelta
 from heapq import heapify, heappop, heappush, heapreplace
 
-from dappledrum.clock import ZERO
 from dappledrum.gangs.together import Gang, Search
 from dappledrum.scheduling.lanes import SLACK, Gap, Kind, Lanes, Offer, Size, fetch_time
 from dappledrum.scheduling.rooms import Rooms, Row
+from dappledrum.timing.clock import ZERO
 
 # tasks of one bag that one plan spreads over rented machines; the others wait for the next wake
 TRIED = 160
--- a/dappledrum/scheduling/test_chains.py
+++ b/dappledrum/scheduling/test_chains.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dappledrum.clock import seconds
 from dappledrum.model.dds import plain_stages
 from dappledrum.scheduling.chains import Link, stages
+from dappledrum.timing.clock import seconds
 
 OPTIMISM = 0.8
 
--- a/dappledrum/scheduling/test_plan.py
+++ b/dappledrum/scheduling/test_plan.py
@@ -7,13 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dappledrum.clock import seconds
 from dappledrum.model.dds import PlainMachine, fill, no_overuse, rent
 from dappledrum.scheduling.deadlines import closing_deadlines, next_deadline, stage_deadlines
 from dappledrum.scheduling.estimates import Estimates, Sample
 from dappledrum.scheduling.lanes import Kind, Lanes, Offer, Size
 from dappledrum.scheduling.plan import Bag, Planner, TeamRoom
 from dappledrum.settings import Objective
+from dappledrum.timing.clock import seconds
 
 LENGTH = 60
 NOW = 1000
--- a/dappledrum/settings.py
+++ b/dappledrum/settings.py
@@ -1,5 +1,7 @@
-"""The settings file that the platform hands over, checked field by field."""
+"""The settings file that the platform hands over, checked field by field, and the operator's own
+settings."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 from typing import Annotated
@@ -7,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from dappledrum.clock import seconds
+from dappledrum.timing.clock import seconds
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
@@ -178,3 +180,12 @@
     """Host and port of an address that the settings check has passed."""
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+@dataclass(frozen=True)
+class Tuning:
+    """The operator's own settings: the paper's open parameters, and what is enabled."""
+
+    interval: timedelta = timedelta(seconds=60)
+    ready_share: float = 0.3
+    reach: bool = True  # what is known of links is told, heard and acted upon
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from dappledrum.http.client import NoResponseError, NotSentError, Reply
-from dappledrum.patience import Patience
+from dappledrum.timing.patience import Patience
 
 Service = Callable[
     [str, str, str, bytes], Coroutine[Any, Any, Reply]
--- a/dappledrum/standins/time.py
+++ b/dappledrum/standins/time.py
@@ -8,7 +8,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
-from dappledrum.clock import Clock
+from dappledrum.timing.clock import Clock
 
 EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
 
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -12,11 +12,10 @@
 
 import msgspec
 
-from dappledrum.dispatch import Tuning
+from dappledrum.controller.node import Node
 from dappledrum.http.client import Caller, NoResponseError, Reply
 from dappledrum.http.server import Handler, Request, Response
 from dappledrum.model.rules import Rules
-from dappledrum.node import Node
 from dappledrum.settings import (
     CloudLimits,
     External,
@@ -26,6 +25,7 @@
     Settings,
     StateLimits,
     Team,
+    Tuning,
     WorkerLimits,
 )
 from dappledrum.standins.fleet import CloudService, Timing
--- a/dappledrum/state/budget.py
+++ b/dappledrum/state/budget.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from enum import IntEnum
 
-from dappledrum.clock import ZERO
+from dappledrum.timing.clock import ZERO
 
 
 class Rank(IntEnum):
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -14,7 +14,6 @@
 
 import msgspec
 
-from dappledrum.clock import ZERO, Clock
 from dappledrum.http.client import Caller, NoResponseError, NotSentError, Reply
 from dappledrum.reach.links import Link
 from dappledrum.settings import StateLimits
@@ -33,7 +32,8 @@
     TimeToLive,
     Transaction,
 )
-from dappledrum.troubles import Trouble
+from dappledrum.timing.clock import ZERO, Clock
+from dappledrum.timing.troubles import Trouble
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/state/test_state.py
+++ b/dappledrum/state/test_state.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from dappledrum.clock import ZERO, Clock, seconds
 from dappledrum.http.client import NoResponseError, NotSentError, Reply
 from dappledrum.settings import StateLimits
 from dappledrum.standins.time import run
@@ -22,6 +21,7 @@
     raw,
 )
 from dappledrum.state.messages import Guard, Put
+from dappledrum.timing.clock import ZERO, Clock, seconds
 
 
 def test_a_budget_keeps_the_rate_and_its_reserves():
--- a/dappledrum/patience.py
+++ b/dappledrum/timing/patience.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from types import TracebackType
 
-from dappledrum.clock import ZERO, Clock
+from dappledrum.timing.clock import ZERO, Clock
 
 log = logging.getLogger(__name__)
 
--- a/dappledrum/troubles.py
+++ b/dappledrum/timing/troubles.py
@@ -3,7 +3,7 @@
 import logging
 from datetime import timedelta
 
-from dappledrum.clock import Clock
+from dappledrum.timing.clock import Clock
 
 
 class Trouble:
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -21,13 +21,13 @@
 
 from dappledrum.accounts.entries import Entry
 from dappledrum.accounts.ledger import Ledger
-from dappledrum.clock import ZERO, Clock, longer
 from dappledrum.gangs.whole import keep_whole
 from dappledrum.jobs.messages import Form
 from dappledrum.jobs.record import Job, Page, Placement
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.settings import WorkerLimits
+from dappledrum.timing.clock import ZERO, Clock, longer
 from dappledrum.workers.failures import Verdict, failed, judge, suspected
 from dappledrum.workers.messages import Cause, Command, Report, TaskReport, TaskState
 from dappledrum.workers.roster import GONE_MARGIN, Machine, Roster
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from dappledrum.clock import longer
 from dappledrum.jobs.record import Placement
 from dappledrum.scheduling.lanes import Kind
+from dappledrum.timing.clock import longer
 
 GONE_MARGIN = timedelta(milliseconds=500)
 KEPT_NAMES = 2_000
--- a/dappledrum/workers/test_bookkeeping.py
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from dappledrum.clock import Clock
 from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
 from dappledrum.jobs.record import Job
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.settings import WorkerLimits
 from dappledrum.standins.time import run
 from dappledrum.standins.world import job
+from dappledrum.timing.clock import Clock
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.knocks import shunned
 from dappledrum.workers.messages import Report, TaskReport
--- a/dappledrum/workers/test_failures.py
+++ b/dappledrum/workers/test_failures.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from dappledrum.clock import ZERO
 from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
 from dappledrum.jobs.record import Job
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.standins.world import job
+from dappledrum.timing.clock import ZERO
 from dappledrum.workers.failures import Verdict, failed, judge, suspected
 from dappledrum.workers.roster import Machine
 
