--- a/dappledrum/main.py
+++ b/dappledrum/main.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from dappledrum import __version__
-from dappledrum.settings import Settings, SettingsError, load
+from dappledrum.settings import Settings, SettingsError, Tuning, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -83,7 +83,6 @@
 def serve(settings: Settings, options: argparse.Namespace) -> int:
     """Run the controller until it is killed."""
     from dappledrum.controller.wiring import run_node
-    from dappledrum.settings import Tuning
 
     tuning = Tuning(timedelta(seconds=options.interval_s), options.ready_share, options.reach)
     try:
