--- a/dappledrum/controller/test_ends.py
+++ b/dappledrum/controller/test_ends.py
@@ -159,6 +159,68 @@
     run(main())
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_leader_that_is_back_at_once_is_replaced_at_once(seed):
+    """Its key kept all others from standing until its hold was over, 3 s later, though its next
+    process knew that nobody led under it."""
+
+    async def main():
+        world = World(seed=seed, members=FIVE)
+        await world.until(lambda: world.leader() is not None)
+        for back in (0.0, 0.05, 0.3):
+            await world.wait(5)
+            leader = world.leader()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            await world.restart(leader, back)
+            while world.leader() is None:
+                await asyncio.sleep(0.01)
+                assert loop.time() - began < back + 0.5
+            # Whoever is not back within its hold is waited for, as ever.
+            leader = world.leader()
+            world.kill(leader)
+            await world.wait(2)
+            assert world.leader() is None
+            await world.until(lambda: world.leader() is not None, most=2)
+            world.start(leader)
+
+    run(main())
+
+
+def test_a_key_with_ones_own_name_that_nobody_leads_by_goes():
+    """A transaction of an election that is executed after its sender's end: the process after it
+    does not lead by that key, and ends it."""
+
+    async def main():
+        world = World(seed=7, members=FIVE)
+        await world.until(lambda: world.leader() is not None)
+        await world.wait(3)
+        state = world.state
+        leader = world.leader()
+        ghost = next(m for m in FIVE if m != leader)
+        epoch = state.keys["epoch"][0]["epoch"]
+        world.kill(leader)
+        await world.wait(1)
+        for hold in [h for k, (_, _, h) in state.keys.items() if k == "leader"]:
+            state._end(hold)
+        state.holds[99] = (asyncio.get_running_loop().time() + 3, 3.0)
+        body = {
+            "guards": [],
+            "then": [
+                {"write": "leader", "value": {"member": ghost, "epoch": epoch + 1}, "hold": 99},
+                {"write": "epoch", "value": {"epoch": epoch + 1}},
+            ],
+        }
+        state._multi(body)
+        assert state.keys["leader"][2] == 99
+        await world.wait(0.75)
+        assert 99 not in state.holds
+        assert world.leader() is not None
+        assert world.nodes[world.leader()].elector.term.epoch == epoch + 2
+
+    run(main())
+
+
 def test_all_end_again_and_again():
     """Five at once, five times, before the first read is over or after it."""
 
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -247,8 +247,9 @@
                 await self._stand()
             return
         self._deferred = False
-        self._learn(msgspec.json.decode(holder.value, type=LeaderRecord))
         version = holder.version
+        self._learn(msgspec.json.decode(holder.value, type=LeaderRecord))
+        await self._outlive(version)
         while True:
             try:
                 seen = await self._watch(revision)
@@ -262,9 +263,27 @@
                 if event.put == LEADER:
                     version = event.version  # a key that is handed over is replaced, not removed
                     self._learn(msgspec.json.decode(event.value, type=LeaderRecord))
+                    await self._outlive(version)
                 elif event.delete == LEADER:
                     return
 
+    async def _outlive(self, version: int) -> None:
+        """End the hold of a key with this controller's own name, under which it does not lead.
+
+        A process begins when the one before it under its name is gone, so that one answers nobody
+        any more, and its key only keeps others from standing until its hold is over. The same goes
+        for an election whose outcome this process never learned. What was sent under the key
+        before is guarded by its version, a renewal finds no hold, and an answer on its way is
+        older than whatever its successor assumes (docs/design.md, "Back at once").
+        """
+        if self.leader is None or self.leader.member != self.member or self.term is not None:
+            return
+        entry = await self.state.get(LEADER, Rank.LEASE)
+        if entry is not None and entry.version == version and entry.lease is not None:
+            epoch = self.leader.epoch
+            log.warning("ending the hold of epoch %d, under which nobody leads any more", epoch)
+            await self._drop(entry.lease)
+
     async def _watch(self, revision: int) -> tuple[list[Event], int] | None:
         """Changes of the leader's key; None when a leader has offered its place meanwhile."""
         watch = asyncio.ensure_future(
--- a/dappledrum/model/promises.py
+++ b/dappledrum/model/promises.py
@@ -127,11 +127,18 @@
     def _restart(self, member: int | None = None) -> None:
         member = self.rng.choice(self.members) if member is None else member
         self.process[member] += 1
-        self.terms.pop(member, None)
+        former = self.terms.pop(member, None)
+        if former is not None and self.served[member] and former.epoch == self.key:
+            self._after(self.rng.uniform(0, 1), lambda: self._end_hold(former.epoch))
         witness = self.witness[member] = Witness(self._clock())
         if not self._has("one that has just begun promises weakly"):
             witness.forgot_until = timedelta(0)
 
+    def _end_hold(self, epoch: int) -> None:
+        """The next process of a member ends the hold that the former one had."""
+        if self.key == epoch:
+            self.key = None
+
     def holding(self, member: int) -> bool:
         """Whether a controller answers workers now."""
         term = self.terms.get(member)
--- a/dappledrum/standins/ends.py
+++ b/dappledrum/standins/ends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import re
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -45,6 +46,9 @@
 STEPS: dict[str, Step] = {
     "first look": _step("state", "/keys?prefix=leader"),
     "lease": Step(lambda sent: sent.target == "state" and sent.path == "/holds"),
+    "end of the former hold": Step(
+        lambda sent: sent.target == "state" and re.fullmatch(r"/holds/\d+", sent.path) is not None
+    ),
     "candidate asks": _peer(b"standing"),
     "candidate is answered": _peer(b"standing", True),
     "election": Step(lambda sent: _writes(sent, b"leader")),
