--- /dev/null
+++ b/dappledrum/recovery/test_squaring.py
@@ -0,0 +1,155 @@
+"""Report against record, at the start of a term: the table of docs/recovery.md as a plain model,
+and the real bookkeeper on everything that the two can say of one task on one machine."""
+
+import itertools
+from datetime import UTC, datetime
+from typing import NamedTuple
+
+import msgspec
+import pytest
+
+from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record import Job
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.settings import WorkerLimits
+from dappledrum.standins.time import run
+from dappledrum.standins.world import job
+from dappledrum.timing.clock import Clock
+from dappledrum.workers.bookkeeping import Bookkeeper
+from dappledrum.workers.messages import Report, TaskReport
+from dappledrum.workers.roster import Roster
+
+TOKEN = 5
+
+
+class Case(NamedTuple):
+    """What is known of a task, from both sides."""
+
+    recorded: tuple[int, int] | None  # attempt and session
+    done: bool  # its end is stored
+    cancelled: bool
+    session: int  # of the report
+    held_back: bool  # the report was sent under a predecessor
+    shown: tuple[int, str, str | None] | None  # attempt, state, cause
+
+
+class Outcome(NamedTuple):
+    """What follows at the first report, and what the worker is told."""
+
+    placed: bool  # it still counts as on the machine
+    done: bool
+    told: str | None
+
+
+def plainly(case: Case) -> Outcome:
+    """The table."""
+    placed, done = case.recorded is not None, case.done
+    attempt, recorded_in = case.recorded or (0, 0)
+    mine = case.shown is not None and placed and case.shown[0] == attempt
+    ended = case.shown is not None and case.shown[1] == "ended"
+    unstored = False
+    if ended and case.shown[2] == "done" and not done:
+        done = unstored = True  # the result is kept by the worker, whoever started it
+    if mine and ended:
+        placed = False
+        unstored = True
+    if placed and recorded_in < case.session:
+        placed = False  # the worker has killed all of that session
+        unstored = True
+    unwanted = case.cancelled or done
+    if placed and unwanted and not mine and not case.held_back and recorded_in == case.session:
+        placed = False  # never begun there, or gone
+        unstored = True
+    told = None
+    if case.shown is not None and ended:
+        told = None if placed and mine or unstored else "forget"
+    elif case.shown is not None:
+        told = None if placed and mine and not unwanted else "stop"
+    if told is None and placed and not mine and not unwanted and recorded_in == case.session:
+        told = "start"  # as recorded; repeated, it changes nothing
+    if told == "stop" and placed and not mine and not unwanted and recorded_in == case.session:
+        told = "stop, start"  # the other goes first; until then the worker refuses this one
+    if told == "forget" and placed and not mine and not unwanted and recorded_in == case.session:
+        told = "forget, start"
+    return Outcome(placed, done, told)
+
+
+def really(case: Case) -> Outcome:
+    """The bookkeeper, after it has taken a predecessor's record over."""
+
+    async def main() -> Outcome:
+        spec = {key: value for key, value in job(1, beats=1).items() if key != "runS"}
+        own = Job(JobRecord(msgspec.convert(spec, Spec), 0, 256, PageRecord()), 1)
+        page = own.page(0)
+        if case.done:
+            page.finish(0)
+        if case.recorded is not None:
+            page.place(0, "m", case.recorded[1], "a", datetime.now(UTC), case.recorded[0])
+        page.saved = page.revision
+        own.cancelled = case.cancelled
+        books = Bookkeeper(
+            {own.id: own},
+            Roster(),
+            Estimates(),
+            WorkerLimits(1.0, 9.0, 30.0),
+            Clock(),
+            TOKEN,
+            lambda page: None,
+            lambda why: None,
+        )
+        books.restore(own)
+        tasks = [] if case.shown is None else [TaskReport("j-000001/0", *case.shown)]
+        token = TOKEN - 1 if case.held_back else TOKEN
+        report = Report("m", "10.1.0.1:1", "small", "a", True, case.session, 7, token, None, tasks)
+        machine = books.take(report)
+        assert machine is not None
+        told = ", ".join(command.op for command in books.commands(machine, report, True))
+        return Outcome(0 in page.places, page.is_done(0), told or None)
+
+    return run(main())
+
+
+SHOWN = [None] + [
+    (attempt, state, cause)
+    for attempt in (1, 2)
+    for state, cause in [
+        ("fetching", None),
+        ("running", None),
+        ("flushing", None),
+        ("ended", "done"),
+        ("ended", "stopped"),
+        ("ended", "error"),
+    ]
+]
+CASES = [
+    Case(*values)
+    for values in itertools.product(
+        [None, (1, 1), (1, 2), (2, 1), (2, 2)],
+        [False, True],
+        [False, True],
+        [1, 2],
+        [False, True],
+        SHOWN,
+    )
+    if not (values[0] is not None and values[1])  # one change stores the end and removes the place
+]
+
+
+def test_everything_that_a_report_and_a_record_can_say_of_a_task():
+    different = [case for case in CASES if really(case) != plainly(case)]
+    assert len(CASES) > 500 and not different, (
+        f"{len(different)} of {len(CASES)}, as {different[0]}:"
+        f" {really(different[0])}, not {plainly(different[0])}"
+    )
+
+
+@pytest.mark.parametrize("case", CASES[::7])
+def test_nothing_is_started_that_may_be_elsewhere_or_is_over(case):
+    """Whatever the table says: a start is for what is recorded here, in this session, and not
+    done or cancelled; a forget is for what is stored."""
+    outcome = really(case)
+    if outcome.told is not None and "start" in outcome.told:
+        assert outcome.placed and not outcome.done and not case.cancelled
+        assert case.recorded is not None and case.recorded[1] == case.session
+    if outcome.told is not None and "forget" in outcome.told:
+        assert outcome.done == case.done
