A leader says when its start is over: what came back, what is missing, what was given up

Need: a start after all controllers went down is told in hundreds of lines, none of which says that it is over. Change: recovery/picture.py looks at what was there before, and tells once for each term. It decides nothing.

--- a/dappledrum/leading/leader.py
+++ b/dappledrum/leading/leader.py
@@ -25,6 +25,7 @@
 from dappledrum.leadership.elector import Term
 from dappledrum.learning.memory import LearnedMemory
 from dappledrum.learning.messages import LearnedRecord
+from dappledrum.recovery.picture import Picture
 from dappledrum.scheduling.estimates import Estimates
 from dappledrum.settings import Params, Tuning
 from dappledrum.state.budget import Rank
@@ -119,6 +120,10 @@
             self.wake,
             awake_since,
         )
+        self.picture = Picture(
+            self.roster, clock, params.workers.lease, lambda: self.keeper.listed
+        )
+        self.bookkeeper.on_lost = self.picture.lost
         most = params.state.value_bytes
         self.memory = FleetMemory(
             Hint(state, term.guard(), FLEET, FleetRecord, most, Rank.RECORD), self.roster, clock
@@ -261,6 +266,7 @@
         took = (self.clock.now() - started).total_seconds() * 1e3
         placed = sum(job.on_machines() for job in self.jobs.values())
         log.info("read %d live jobs with %d placements in %.0f ms", len(self.jobs), placed, took)
+        self.picture.begin()
         self.wake("loaded")
 
     async def _watch(self) -> None:
@@ -400,6 +406,7 @@
             # it.
             if self.leading():
                 self.bookkeeper.sweep()
+            self.picture.look()
             self.recorder.shrink(self.jobs.values())
             await asyncio.sleep(0.5)
 
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -67,6 +67,7 @@
         self.mark = mark
         self.wake = wake
         self.cache_gb: dict[str, float] = {}
+        self.on_lost: Callable[[str], None] = lambda why: None  # told of each placement given up
         self.quiet: timedelta | None = None  # nobody else has answered since; None: not told
 
     # reports
@@ -264,6 +265,7 @@
         )
         self.ledger.settle(placement, entry)
         self._remove(machine, placement)
+        self.on_lost(why)
         self.wake("task lost")
 
     # answers
