--- /dev/null
+++ b/dappledrum/standins/experiment.py
@@ -0,0 +1,202 @@
+"""A day's file over the stand-ins, and what it costs, in virtual time.
+
+    python3 -m dappledrum.standins.experiment DAY.toml [--machines 60] [--seeds 3] [--back 0.3]
+                                              [--until S] [--report FILE]
+
+Five whole controllers, a fleet that is kept busy, rules checked after each step. The report (JSON)
+tells what the bench does not: seconds in which nobody may give commands, the longest time in which
+each machine had no answered report, sessions that ended, and for each trouble, up to the next one,
+the seconds until nine tenths of the tasks that ran before ran again, and the machines rented in
+the 10 s after it. Figures are simulated.
+"""
+
+import argparse
+import asyncio
+import logging
+import statistics
+import sys
+from pathlib import Path
+
+import msgspec
+
+from dappledrum.standins.days import Day, DayError, Fault, begin, load
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+
+FIVE = tuple(f"drummer-{index}" for index in range(5))
+STEP = 0.25
+RENTED_WITHIN = 10.0
+BACK_SHARE = 0.9
+RUN_S = 12.0
+TASKS = 20
+CPUS = 2.0
+BUSY = 0.7  # of the room that the machines have
+
+
+class After(msgspec.Struct):
+    """What followed one trouble."""
+
+    at_s: float
+    kind: str
+    running_before: int
+    #: Until nine tenths ran again, and went on so; None: not before the next trouble.
+    back_s: float | None = None
+    rented: int = 0
+
+
+class Report(msgspec.Struct):
+    """One play."""
+
+    day: str
+    seed: int
+    machines: int
+    jobs: int
+    no_leader_s: float
+    gap_median_s: float
+    gap_most_s: float
+    sessions_ended: int
+    tasks_started: int
+    tasks_wanted: int
+    rented: int
+    state_requests_per_s: float
+    state_changes_per_s: float
+    troubles: list[After]
+
+
+class _Watch:
+    """Looks at a world every quarter of a second."""
+
+    def __init__(self, world: World, day: Day, back: float) -> None:
+        self.world = world
+        self.back = back
+        self.left: list[Fault] = sorted(day.faults, key=lambda fault: fault.at_s)
+        self.after: list[tuple[After, float, int]] = []
+        self.no_leader = 0.0
+        self.gaps: dict[str, float] = {}
+        self.sessions: dict[str, int] = {}
+
+    def look(self, now: float) -> None:
+        """Let troubles begin that are due, and note what is to be seen."""
+        world = self.world
+        running = len(world.rules.running)
+        while self.left and self.left[0].at_s <= now:
+            fault = self.left.pop(0)
+            one = After(fault.at_s, fault.kind, running)
+            self.after.append((one, now, world.cloud.next))
+            begin(world, fault, self.back)
+        self.no_leader += STEP * (world.leader() is None)
+        for worker in world.cloud.workers():
+            gap = now - worker.answered
+            self.gaps[worker.name] = max(self.gaps.get(worker.name, 0.0), gap)
+            self.sessions[worker.name] = worker.session
+        for one, began, rented in self.after:
+            if now - began <= RENTED_WITHIN:
+                one.rented = world.cloud.next - rented
+        if self.after:  # until the next trouble
+            one, began, _ = self.after[-1]
+            if running < one.running_before * BACK_SHARE:
+                one.back_s = None
+            elif one.back_s is None:
+                one.back_s = round(now - began, 2)
+
+
+async def play(day: Day, seed: int, machines: int, back: float, until: float) -> Report:
+    """One day; ends with an assertion when a rule is broken."""
+    world = World(seed=seed, members=FIVE, lease_s=15.0)
+    world.cloud.most = machines
+    for _ in range(machines):
+        world.cloud.add(("small", "a", True))
+    await world.until(lambda: world.leader() is not None)
+    room = machines * 4.0 / CPUS
+    pause = TASKS * RUN_S / (room * BUSY)
+    watch = _Watch(world, day, back)
+    users: list[asyncio.Task[int | None]] = []
+    names: list[str] = []
+    due = 0.0
+    while (now := asyncio.get_running_loop().time()) < until:
+        if now >= due:
+            due = now + pause
+            number = len(names)
+            urgent = number % 3 == 0
+            spec = job(
+                number,
+                beats=TASKS,
+                vcpus=CPUS,
+                runS=RUN_S,
+                expectedS=RUN_S,
+                builds=["small"],
+                urgency="high" if urgent else "standard",
+                dueS=RUN_S * (3 if urgent else 8),
+                skin=f"img-{number % 4}",
+            )
+            names.append(spec["id"])
+            users.append(asyncio.ensure_future(world.submit(spec)))
+        watch.look(now)
+        await world.wait(STEP)
+    await asyncio.gather(*users)
+    starts = world.rules.starts
+    await world.finish(names, most=600)
+    gaps = sorted(watch.gaps.values())
+    return Report(
+        day.name,
+        seed,
+        machines,
+        len(names),
+        round(watch.no_leader, 2),
+        round(statistics.median(gaps), 2),
+        round(gaps[-1], 2),
+        sum(session - 1 for session in watch.sessions.values()),
+        starts,
+        len(names) * TASKS,
+        world.cloud.next - machines,
+        round(world.state.requests / until, 1),
+        round(world.state.writes / until, 1),
+        [one for one, _, _ in watch.after],
+    )
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Play a day's file with some seeds."""
+    parser = argparse.ArgumentParser(
+        prog="python3 -m dappledrum.standins.experiment",
+        description="Play a day over the stand-ins, and report what it costs.",
+    )
+    parser.add_argument("day", type=Path, metavar="DAY.toml")
+    parser.add_argument("--machines", type=int, default=60, metavar="N", help="default 60")
+    parser.add_argument("--seeds", type=int, default=3, metavar="N", help="default 3")
+    parser.add_argument("--back", type=float, default=0.3, metavar="S", help="default 0.3")
+    parser.add_argument("--until", type=float, metavar="S", help="default: the last trouble + 60")
+    parser.add_argument("--report", type=Path, metavar="FILE", help="JSON, one play a line")
+    options = parser.parse_args(argv)
+    if not 1 <= options.machines <= 5_000 or not 1 <= options.seeds <= 1_000:
+        parser.error("--machines must be 1 to 5000, --seeds 1 to 1000")
+    try:
+        day = load(options.day)
+    except DayError as error:
+        parser.error(str(error))
+    last = max((fault.at_s + fault.for_s for fault in day.faults), default=120.0)
+    until = options.until if options.until is not None else last + 60.0
+    logging.disable(logging.CRITICAL)
+    lines = []
+    for seed in range(day.seed, day.seed + options.seeds):
+        report = run(play(day, seed, options.machines, options.back, until))
+        lines.append(msgspec.json.encode(report).decode())
+        print(
+            f"{report.day} seed {seed}, {report.machines} machines, {report.jobs} jobs: no leader"
+            f" {report.no_leader_s:.1f} s; longest gap of a machine {report.gap_median_s:.1f} s in"
+            f" the middle, {report.gap_most_s:.1f} s at most; {report.sessions_ended} sessions"
+            f" ended; {report.tasks_started} starts for {report.tasks_wanted} tasks"
+        )
+        for one in report.troubles:
+            back = "not again" if one.back_s is None else f"after {one.back_s:.1f} s"
+            print(
+                f"  {one.at_s:6.1f} s {one.kind}: {one.running_before} ran, nine tenths {back};"
+                f" {one.rented} machines rented in 10 s"
+            )
+    if options.report is not None:
+        options.report.write_text("\n".join(lines) + "\n", encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dappledrum/standins/test_experiment.py
@@ -0,0 +1,53 @@
+"""Days in files over the stand-ins."""
+
+import msgspec
+import pytest
+
+from dappledrum.standins.days import KINDS
+from dappledrum.standins.experiment import Report, main
+
+DAY = """
+name = "all kinds"
+faults = [
+  { at_s = 20.0, kind = "node_crash", count = 1, busiest = true },
+  { at_s = 26.0, kind = "machine_hang", count = 2, for_s = 5.0 },
+  { at_s = 28.0, kind = "node_cut", count = 1, busiest = true, from_state = true, for_s = 6.0 },
+  { at_s = 36.0, kind = "node_freeze", count = 1, for_s = 4.0 },
+  { at_s = 42.0, kind = "cloud_outage", for_s = 6.0 },
+  { at_s = 44.0, kind = "machine_die", count = 2 },
+  { at_s = 50.0, kind = "state_outage", for_s = 4.0 },
+  { at_s = 58.0, kind = "node_roll", every_s = 3.0 },
+  { at_s = 80.0, kind = "node_down", count = 5, for_s = 20.0 },
+]
+"""
+
+
+def test_a_day_with_every_kind_of_trouble(tmp_path):
+    day, report = tmp_path / "day.toml", tmp_path / "report.json"
+    day.write_text(DAY)
+    options = ["--machines", "10", "--seeds", "1", "--until", "125", "--report", str(report)]
+    assert main([str(day), *options]) == 0
+    told = msgspec.json.decode(report.read_text(), type=Report)
+    assert [one.kind for one in told.troubles] and {o.kind for o in told.troubles} == KINDS.keys()
+    # An outage of 4 s, an end of all for 20, longer than the workers' leases, and handing over.
+    assert 23 < told.no_leader_s < 36 and told.sessions_ended > 5
+    down = told.troubles[-1]
+    assert down.back_s is not None and down.back_s > 15
+    assert told.tasks_wanted == told.jobs * 20
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("nonsense", "Expected"),
+        ('name = "x"\nfaults = [{ at_s = 1.0, kind = "flood" }]', "not known over the stand-ins"),
+        ('name = "x"\nfaults = [{ at_s = -1.0, kind = "node_crash" }]', "at_s"),
+        ('name = "x"\nfaults = [{ at_s = 1.0, kind = "node_crash", zone = "a" }]', "zone"),
+    ],
+)
+def test_a_day_that_cannot_be_played_is_refused(tmp_path, capsys, text, why):
+    day = tmp_path / "day.toml"
+    day.write_text(text)
+    with pytest.raises(SystemExit):
+        main([str(day)])
+    assert why in capsys.readouterr().err
