--- a/dappledrum/reach/test_outages.py
+++ b/dappledrum/reach/test_outages.py
@@ -60,20 +60,27 @@
     return leader is not None and world.nodes[leader].elector.term.clear_at is not None
 
 
+def two_sides(world):
+    """Leader and two others are refused by the state service, two are served, and the two sides
+    can't talk; returns the leader, and the others in this order."""
+    leader = world.leader()
+    others = [m for m in FIVE if m != leader]
+    # Words would tell the three that another leads: the two can't reach their peers at all.
+    for one in (leader, *others[:2]):
+        world.state.refused.add(one)
+        for two in others[2:]:
+            for a, b in ((one, "back-" + two), (two, "back-" + one)):
+                world.network.cut(a, b)
+    return leader, others
+
+
 def test_a_minority_that_is_served_leads_and_waits_with_its_proofs():
     """Leader and two others are refused, two are served: one of the two leads, but what it does
     not hear of counts as running until a majority has told that it holds to no promise."""
 
     async def main():
         world = await busy_world(seed=5)
-        leader = world.leader()
-        others = [m for m in FIVE if m != leader]
-        # Words would tell the three that another leads: the two can't reach their peers at all.
-        for one in (leader, *others[:2]):
-            world.state.refused.add(one)
-            for two in others[2:]:
-                for a, b in ((one, "back-" + two), (two, "back-" + one)):
-                    world.network.cut(a, b)
+        leader, _ = two_sides(world)
         await world.until(lambda: world.leader() not in (None, leader), most=10)
         seen = 0.0
         while world.nodes[leader].elector.holding() is not None:
--- a/dappledrum/recovery/test_quiet.py
+++ b/dappledrum/recovery/test_quiet.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dappledrum.reach.test_outages import two_sides
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
 from dappledrum.workers.bookkeeping import Bookkeeper
@@ -122,13 +123,7 @@
 
     async def main():
         world = await busy(worlds, 3)
-        leader = world.leader()
-        others = [m for m in FIVE if m != leader]
-        for one in (leader, *others[:2]):
-            world.state.refused.add(one)
-            for two in others[2:]:
-                for a, b in ((one, "back-" + two), (two, "back-" + one)):
-                    world.network.cut(a, b)
+        leader, others = two_sides(world)
         for worker in world.cloud.workers()[::2]:  # these reach only the former leader
             for member in others:
                 world.network.cut(member, worker.name)
