--- a/dappledrum/dispatch/dispatcher.py
+++ b/dappledrum/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
 """One wake of the rule: what is there is planned, and what the plan says is done."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 
 from dappledrum.dispatch.machines import Machines
@@ -19,6 +19,8 @@
 
 TURN = timedelta(milliseconds=15)  # of planning, before others get theirs
 IDLE_EVERY = timedelta(seconds=3)
+#: One plan takes no longer; what it has not come to by then comes first in the next one.
+PLAN_MOST = timedelta(milliseconds=700)
 
 
 class Dispatcher:
@@ -47,13 +49,16 @@
         self.preemption = Preemption(roster, keeper, params)
         self.savings = Savings(jobs, roster, self.machines, keeper, params)
         self.idle_at = -IDLE_EVERY
+        self.put_off: set[str] = set()  # bags that the newest plan did not come to
         self.calm = False  # the newest plan had nothing late and rented nothing
 
     async def run(self) -> Plan:
         """One wake of the rule.
 
         A plan for hundreds of machines takes a good part of a second, so the event loop gets its
-        turn in between, and what starts is placed as soon as it is decided.
+        turn in between, and what starts is placed as soon as it is decided. Most of that time goes
+        into what could be rented for the rest (Algorithm 2), which is bounded: a plan that goes on
+        for long holds up starts that only the next one sees.
         """
         now = self.clock.now()
         self.machines.refresh()
@@ -72,23 +77,40 @@
             TeamRoom(self.work.team_room()),
         )
         plan = planner.plan
-        turn = now
-        placed = 0
-        for _ in planner.steps(bags):
-            self.placing.start(plan.starts[placed:])
-            placed = len(plan.starts)
-            if self.clock.now() - turn > TURN:
-                await asyncio.sleep(0)
-                turn = self.clock.now()
+        await self._step(planner.fill(bags), plan)
+        await self._step(planner.rent(self.put_off), plan, now + PLAN_MOST)
+        self.put_off = {bag.id for bag, _ in planner.left}
         guaranteed, yielding = self.work.guaranteed, self.work.yielding()
         for bag in bags:
             if bag.id in plan.late and not bag.held and not bag.thrifty and bag.id in self.jobs:
                 job, late = self.jobs[bag.id], plan.late[bag.id]
                 self.preemption.make_room(job, bag, late, now, guaranteed, yielding)
-        self.calm = not plan.late and not plan.rentals
-        self.savings.release_from_idle(plan, now, yielding)
-        if self.keeper.listed:
-            self.savings.cheapen(plan, lanes)
+        self.calm = not plan.late and not plan.rentals and not self.put_off
+        needed = plan.needed
+        if self.put_off:
+            # Nobody has asked yet what these need: what they were counted on stays.
+            needed = needed | self.keeper.needed
+        else:
+            self.savings.release_from_idle(plan, now, yielding)
+            if self.keeper.listed:
+                self.savings.cheapen(plan, lanes)
         # Before the first list nobody knows what a predecessor has rented.
-        self.keeper.order(plan.rentals if self.keeper.listed else {}, plan.needed, now)
+        self.keeper.order(plan.rentals if self.keeper.listed else {}, needed, now)
         return plan
+
+    async def _step(
+        self, steps: Iterator[None], plan: Plan, until: timedelta | None = None
+    ) -> None:
+        """Take the steps of a plan, by turns with everything else, until that moment at the
+        latest; place what they start."""
+        turn = self.clock.now()
+        placed = len(plan.starts)
+        for _ in steps:
+            self.placing.start(plan.starts[placed:])
+            placed = len(plan.starts)
+            now = self.clock.now()
+            if until is not None and now > until:
+                return
+            if now - turn > TURN:
+                await asyncio.sleep(0)
+                turn = self.clock.now()
--- a/dappledrum/scheduling/lanes.py
+++ b/dappledrum/scheduling/lanes.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from bisect import bisect_left
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
@@ -110,6 +111,7 @@
         self.free: list[Size] = [free]
         self.ready_at = ready_at
         self.rented_at = rented_at
+        self.rented_s = rented_at.total_seconds()
         self.hourly = hourly
         self.capacity = free.cpus
         self.hourly_cpu = hourly / max(free.cpus, 1e-3)
@@ -121,8 +123,10 @@
         self.images: dict[str, timedelta] = {}  # when each image is there
         self.planned = 0
         self.index = 0  # among the machines of a plan
+        self.interval_s = interval.total_seconds()
         self._first: dict[Size, int] = {}  # index of the first step with room, for each size asked
         self._billed: timedelta | None = None
+        self._paid = 0  # intervals until then
 
     def copy(self) -> "Lanes":
         """An independent copy to try things on."""
@@ -150,17 +154,6 @@
             self._first[size] = index
         return index
 
-    def bound(
-        self, size: Size, run: timedelta, image: str, fetch: timedelta
-    ) -> tuple[timedelta, timedelta]:
-        """A start and a finish that no task of this size can beat here; cheap, since few machines
-        of a large fleet need a closer look."""
-        start = self.times[self._first_step(size)]
-        at = self.images.get(image)
-        if at is None:
-            return start, start + run + fetch
-        return start, run + (start if at <= start else at)
-
     def duration(self, run: timedelta, image: str, image_gb: float, start: timedelta) -> timedelta:
         """The estimate Q of a task that starts here then: its run time, and what is left of the
         image's fetch."""
@@ -173,17 +166,20 @@
         """The earliest room for a task."""
         times, free = self.times, self.free
         last = len(times) - 1
-        for index in range(self._first_step(size), last + 1):
-            start = times[index]
-            count = free[index].times(size)
-            if count == 0:
+        cpus, gpus, gb = size.cpus - EPSILON, size.gpus - EPSILON, size.memory_gb - EPSILON
+        for index, (have_cpus, have_gpus, have_gb) in enumerate(free):
+            if have_cpus < cpus or have_gb < gb or have_gpus < gpus:
                 continue
+            count = free[index].times(size)
+            start = times[index]
             finish = start + self.duration(run, image, image_gb, start)
             if self.until is not None and finish > self.until:
                 return None
             at = index + 1
-            while at <= last and times[at] < finish and count:
-                count = min(count, free[at].times(size))
+            while at <= last and count and times[at] < finish:
+                fit = free[at].times(size)
+                if fit < count:
+                    count = fit
                 at += 1
             if count:
                 return Gap(start, count, finish)
@@ -191,16 +187,11 @@
 
     def _cut(self, at: timedelta) -> int:
         """Index of the step that begins at this time, made if need be."""
-        for index, time in enumerate(self.times):
-            if time == at:
-                return index
-            if time > at:
-                self.times.insert(index, at)
-                self.free.insert(index, self.free[index - 1])
-                return index
-        self.times.append(at)
-        self.free.append(self.free[-1])
-        return len(self.times) - 1
+        index = bisect_left(self.times, at)
+        if index == len(self.times) or self.times[index] != at:
+            self.times.insert(index, at)
+            self.free.insert(index, self.free[index - 1])
+        return index
 
     def reserve(self, start: timedelta, finish: timedelta, size: Size, count: int = 1) -> None:
         """Take room for some tasks of the same size."""
@@ -225,14 +216,15 @@
     def billed_until(self) -> timedelta:
         """End of the last interval that the machine is committed to."""
         if self._billed is None:
-            self._billed = self.rented_at + self.intervals(self.committed) * self.interval
+            self._paid = self.intervals(self.committed)
+            self._billed = self.rented_at + self._paid * self.interval
         return self._billed
 
     def added_cost(self, finish: timedelta, fresh: bool) -> float:
         """Price of the intervals that a task until then would add; a machine not rented yet adds
         all of its own."""
-        if not fresh and finish <= self.billed_until():
-            return 0.0
-        after = self.intervals(max(self.committed, finish))
-        before = 0 if fresh else self.intervals(self.committed)
-        return (after - before) * self.interval.total_seconds() / 3600 * self.hourly
+        if finish <= self.billed_until():
+            more = self._paid if fresh else 0
+        else:
+            more = self.intervals(finish) - (0 if fresh else self._paid)
+        return more * self.interval_s / 3600 * self.hourly
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -6,7 +6,8 @@
 are needed.
 """
 
-from collections.abc import Callable, Iterator, Sequence
+from bisect import bisect_right
+from collections.abc import Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from heapq import heapify, heappop, heappush, heapreplace
@@ -18,10 +19,15 @@
 
 # tasks of one bag that one plan spreads over rented machines; the others wait for the next wake
 TRIED = 160
+AHEAD = 16  # machines looked at together: more than needed, but none is taken up before its turn
 GANGS_SOUGHT = 4  # gangs for which one plan looks beyond the room of the moment
 
 #: Order of machines in Algorithm 2; the last item is unique, so nothing behind it is compared.
 _Score = tuple[int, float, float, bool, int]
+#: Order of rooms in Algorithm 1; without a gap a bound: of one machine, or (index below 0) of all
+#: the rest of its kind.
+_Room = tuple[timedelta, float, timedelta, int, Gap | None]
+_Candidate = tuple[_Score, Lanes, Gap | None]  # without a gap the score is a bound
 #: What Algorithm 2 compares kinds by: tasks left over, worst overrun, added cost, order of kinds.
 _Outcome = tuple[int, timedelta, float, int]
 
@@ -108,6 +114,7 @@
         self.ready_share = ready_share
         self.team_room = team_room
         self.plan = Plan()
+        self.left: list[tuple[Bag, int]] = []  # bags for which nothing was found yet, how many
         self.fresh = 0
         self.sought = 0  # gangs looked at closely
         self.examined = 0  # machines looked at closely: what a plan costs
@@ -120,7 +127,11 @@
 
     def steps(self, bags: Sequence[Bag]) -> Iterator[None]:
         """Algorithm 3, bag by bag, so that whoever runs it can see to other things in between."""
-        left: list[tuple[Bag, int]] = []
+        yield from self.fill(bags)
+        yield from self.rent()
+
+    def fill(self, bags: Sequence[Bag]) -> Iterator[None]:
+        """The first half: room that is paid for anyway; what finds none stays in `left`."""
         for bag in sorted(bags, key=lambda b: (b.rank, -b.run, b.id)):
             count = self.team_room.count(bag)
             if count <= 0:
@@ -139,11 +150,17 @@
             if placed < count:
                 placed += self._fill(bag, count - placed, zones)
             if placed < count and self._passes(bag) and not bag.held:
-                left.append((bag, count - placed))
+                self.left.append((bag, count - placed))
             yield
-        left.sort(key=lambda item: (item[0].rank, -(item[0].run * item[1])))
-        for bag, count in left:
-            self._rent(bag, count)
+
+    def rent(self, first: Collection[str] = ()) -> Iterator[None]:
+        """The second half: machines that could be rented for what is left; `first`: bags that
+        come before all others. It may be given up after any step."""
+        self.left.sort(
+            key=lambda item: (item[0].id not in first, item[0].rank, -(item[0].run * item[1]))
+        )
+        while self.left:
+            self._rent(*self.left.pop(0))
             yield
 
     def _gather(self, bag: Bag, count: int) -> None:
@@ -233,9 +250,7 @@
         of them for each placement. `cheap`: on spot machines only, and only what is in time there.
         """
         fetch = _Fetch(bag.image_gb)
-        # A row without a gap is a bound: of one machine, or (index below 0) of all the rest of its
-        # kind.
-        heap: list[tuple[timedelta, float, timedelta, int, Gap | None]] = []
+        heap: list[_Room] = []
         rest: list[tuple[Sequence[Row], int]] = []
         for kind in self.rooms.by_kind:
             if cheap and not kind.spot:
@@ -251,22 +266,12 @@
             # returned.
             _, _, _, index, gap = heap[0]
             if index < 0:
+                heappop(heap)
                 rows, at = rest[-1 - index]
-                more = at < len(rows)
-                start = rows[at][0] if more else ZERO
-                if not more or (start > self.now and start + bag.run > bag.due):
-                    heappop(heap)
-                    continue
-                if heap[0][0] < start + bag.run:
-                    heapreplace(heap, (start + bag.run, -1.0, ZERO, index, None))
-                    continue
-                rest[-1 - index] = (rows, at + 1)
-                lanes = self.lanes[rows[at][1]]
-                start, finish = lanes.bound(
-                    bag.size, bag.run, bag.image, fetch.time(lanes.fetch_gb_per_s)
-                )
-                if self._fits(bag, lanes, start, finish, cheap):
-                    heappush(heap, (finish, lanes.hourly_cpu, -lanes.committed, lanes.index, None))
+                at = self._look(bag, rows, at, cheap, heap, fetch)
+                if at < len(rows):
+                    rest[-1 - index] = (rows, at)
+                    heappush(heap, (rows[at][0] + bag.run, -1.0, ZERO, index, None))
                 continue
             lanes = self.lanes[index]
             if gap is not None:
@@ -284,6 +289,53 @@
                 heappop(heap)
         return placed
 
+    def _look(
+        self,
+        bag: Bag,
+        rows: Sequence[Row],
+        at: int,
+        cheap: bool,
+        heap: "list[_Room]",
+        fetch: "_Fetch",
+    ) -> int:
+        """Take up machines of one kind from row `at` on, until another room in the heap may be
+        the better one; returns the next row, or the number of rows when no other can do.
+
+        Written out like `_scored`: most machines that it meets can't do.
+        """
+        now, run, due, image = self.now, bag.run, bag.due, bag.image
+        waited = ZERO if cheap else bag.waited
+        lanes_of = self.lanes
+        last = now if cheap else max(now, due - run)  # what starts later is late
+        first = heap[0][0] if heap else None
+        rate, fetching = -1.0, ZERO
+        for index in range(at, len(rows)):
+            start, number = rows[index]
+            if start > last:
+                return len(rows)
+            if first is not None and first < start + run:
+                return index
+            lanes = lanes_of[number]
+            there = lanes.images.get(image)
+            if there is None:
+                if lanes.fetch_gb_per_s != rate:
+                    rate = lanes.fetch_gb_per_s
+                    fetching = fetch.time(rate)
+                finish = start + run + fetching
+            else:
+                finish = run + (start if there <= start else there)
+            if finish > lanes.billed_until():
+                continue
+            if cheap:
+                if finish > due:
+                    continue
+            elif start > now and (finish if lanes.booting else finish + waited) > due:
+                continue
+            heappush(heap, (finish, lanes.hourly_cpu, -lanes.committed, number, None))
+            if first is None or finish < first:
+                first = finish
+        return len(rows)
+
     def _fits(
         self, bag: Bag, lanes: Lanes, start: timedelta, finish: timedelta, cheap: bool = False
     ) -> bool:
@@ -367,13 +419,17 @@
         None: it can't become better than the best so far, as overrun and cost only grow.
         """
         trial = _Trial()
+        if best is not None and (0, *trial.worth(), order) > best:
+            return None
         offer = next((o for o in self.offers if o.kind == kind), None)
         if bag.thrifty and not kind.spot and bag.allowed(kind._replace(spot=True)):
             offer = None
         fetch = _Fetch(bag.image_gb)
-        heap: list[tuple[_Score, Lanes, Gap | None]] = []
         rows = self.rooms.order(kind, bag.size)
-        at = 0
+        # In time, any machine may be the cheapest; too late, the first with room comes first.
+        at = bisect_right(rows, bag.due - bag.run, key=_moment)
+        heap = self._scored(bag, rows[:at], fetch)
+        heapify(heap)
         copies: dict[int, Lanes] = {}
         room = self._cap(bag, kind.zone, count)
         more = offer.most if offer is not None else 0
@@ -388,21 +444,13 @@
                     bag, blank, fresh_gap.start, fresh_gap.finish, following, unrented=True
                 )
         while trial.placed < room:
-            # In time, any machine may be the cheapest; too late, the first with room comes first.
             while at < len(rows):
                 finish = rows[at][0] + bag.run
-                if (
-                    heap
-                    and finish > bag.due
-                    and heap[0][0] < (1, finish.total_seconds(), 0.0, False, -1)
-                ):
+                if heap and heap[0][0] < (1, finish.total_seconds(), 0.0, False, -1):
                     break
-                lanes = self.lanes[rows[at][1]]
-                start, finish = lanes.bound(
-                    bag.size, bag.run, bag.image, fetch.time(lanes.fetch_gb_per_s)
-                )
-                heappush(heap, (self._score(bag, lanes, start, finish, lanes.index), lanes, None))
-                at += 1
+                for candidate in self._scored(bag, rows[at : at + AHEAD], fetch):
+                    heappush(heap, candidate)
+                at += AHEAD
             if more > 0 and fresh_score is not None and (not heap or fresh_score < heap[0][0]):
                 assert offer is not None and fresh_gap is not None
                 lanes, gap = self._blank(offer), fresh_gap
@@ -440,9 +488,39 @@
             self._next(heap, bag, lanes, target, index)
         return trial
 
+    def _scored(self, bag: Bag, rows: Sequence[Row], fetch: "_Fetch") -> "list[_Candidate]":
+        """Machines with what they could be worth at best: a bound, as `Lanes.bound` has it.
+
+        Written out, since a plan does this for every machine of a kind and every bag that is left
+        over: nine tenths of what a leader of hundreds of machines works at.
+        """
+        now, run, due, image, waited = self.now, bag.run, bag.due, bag.image, bag.waited
+        lanes_of = self.lanes
+        rate, fetching = -1.0, ZERO
+        result: list[_Candidate] = []
+        for start, index in rows:
+            lanes = lanes_of[index]
+            there = lanes.images.get(image)
+            if there is None:
+                if lanes.fetch_gb_per_s != rate:
+                    rate = lanes.fetch_gb_per_s
+                    fetching = fetch.time(rate)
+                finish = start + run + fetching
+            else:
+                finish = run + (start if there <= start else there)
+            cost = lanes.added_cost(finish, fresh=False) if finish > lanes.billed_until() else 0.0
+            likely = finish if start <= now or lanes.booting else finish + waited
+            score: _Score
+            if likely <= due:
+                score = (0, cost, lanes.rented_s, False, index)
+            else:
+                score = (1, likely.total_seconds(), cost, False, index)
+            result.append((score, lanes, None))
+        return result
+
     def _next(
         self,
-        heap: "list[tuple[_Score, Lanes, Gap | None]]",
+        heap: "list[_Candidate]",
         bag: Bag,
         lanes: Lanes,
         target: Lanes,
@@ -474,7 +552,7 @@
         cost = lanes.added_cost(finish, fresh=unrented)
         likely = self._likely(bag, lanes, start, finish)
         if likely <= bag.due:
-            return 0, cost, lanes.rented_at.total_seconds(), unrented, index
+            return 0, cost, lanes.rented_s, unrented, index
         return 1, likely.total_seconds(), cost, unrented, index
 
     def _blank(self, offer: Offer) -> Lanes:
@@ -495,6 +573,10 @@
         )
 
 
+def _moment(row: Row) -> timedelta:
+    return row[0]
+
+
 class _Trial:
     """One kind's outcome in Algorithm 2."""
 
