Copies of reports, machines that hear nothing, controllers left alone, first tasks of long waits

Found, each with a test that failed: a late copy of a report renewed the clock by which a dead machine's tasks are given up, for as long as copies came; to a new leader a copy of a machine that had gone was a machine that is up, to place and plan on; a machine whose answers are lost got the same tasks lease after lease; a controller with neither the state service nor a peer said that it was ready, let users wait 0.9 s and named whoever led when it was cut off; a job that had missed its deadline waited for all that had not. Alone is not ready, and refuses at once. The first task of a job of which nothing has begun for 120 s goes before all others.

--- a/dappledrum/accounts/test_shares.py
+++ b/dappledrum/accounts/test_shares.py
@@ -37,17 +37,34 @@
     logs[1].write_text("\n".join(lines[1::2]))
     assert main([str(log) for log in logs]) == 0
     rows = [" ".join(line.split()) for line in capsys.readouterr().out.splitlines()]
-    assert rows == [
+    assert [row.partition(", began")[0] for row in rows] == [
         "class plain 5 jobs 0.80 done 0 of 0 in time",
         "class slow 2 jobs 1.00 done 1 of 2 in time",
         "team blue 5 jobs 0.80 done 0 of 0 in time",
         "team red 2 jobs 1.00 done 1 of 2 in time",
+        "largest of plain 1 jobs 1.00 done 0 of 0 in time",
+        "largest of slow 1 jobs 1.00 done 1 of 1 in time",
         "least: class slow, 0.50",
     ]
+    began = [int(row.split("after ")[1].split()[0]) for row in rows[:-1]]
+    assert min(began) > 0 and max(began) < 60
     assert main(["--least", "0.9", str(logs[0]), str(logs[1])]) == 1
     assert capsys.readouterr().out.count("below") == 4
 
 
+def test_the_largest_that_begin_late_or_are_not_done_are_marked(tmp_path, capsys):
+    log = tmp_path / "a.log"
+    lines = [f"x: accepted j-{n:06d}: {n + 1} tasks of plain for blue" for n in range(11)]
+    lines += [f"x: j-{n:06d} began 5.0 s after it came" for n in range(10)]
+    lines += [f"x: j-{n:06d} is done: {n + 1} tasks of plain for blue" for n in range(10)]
+    late = "x: j-000010 began 241.0 s after it came"
+    log.write_text("\n".join([*lines, late]))
+    assert main([str(log)]) == 1
+    rows = capsys.readouterr().out.splitlines()
+    assert "below  late" in rows[2] and rows[2].startswith("largest of plain")
+    assert "below" not in rows[0] + rows[1]
+
+
 def test_logs_without_jobs_are_refused(tmp_path, capsys):
     empty = tmp_path / "empty.log"
     empty.write_text("nothing\n")
--- a/dappledrum/controller/node.py
+++ b/dappledrum/controller/node.py
@@ -68,6 +68,7 @@
 #: What is left of a cancellation's time when a leader that a majority, but not all, have promised
 #: has gone on for as long as it may, and its workers' leases have run out.
 ALONE_MARGIN = timedelta(seconds=5)
+ALONE_AFTER = timedelta(seconds=3)  # longer than words, and a restart of all others, take
 SETTLE = timedelta(milliseconds=500)
 LIFE_MOST = timedelta(seconds=3)
 
@@ -386,14 +387,28 @@
         come back, as by controllers that were there before the outage. Processes that began in one
         once said that they were not ready, and after it users found nobody for 10 s and more: the
         load balancer takes back whom it has left out only slowly.
+
+        One that has neither the state service nor any peer for a while is alone, whoever else is
+        served: it refuses at once, so it has the fewest open connections, and the load balancer
+        favoured it over those that could serve.
         """
-        if self.state.reached or self.reach.talks():
+        reached = self.state.reached and not self._alone()
+        if reached or self.reach.talks():
             return Response(HTTPStatus.OK, msgspec.json.encode({"state": self._way()}))
         why = self.state.trouble.why or "no answer yet"
         return refusal(
             HTTPStatus.SERVICE_UNAVAILABLE, f"the state service was not reached yet: {why}"
         )
 
+    def _alone(self) -> bool:
+        """Neither the state service nor a peer has talked to this controller for a while, though
+        peers have before: it is cut off, or all the others are down."""
+        failing = self.state.failing_for()
+        heard = self.reach.heard_at
+        if heard is None or failing is None or failing < ALONE_AFTER:
+            return False
+        return self.clock.now() - max(heard, self.pulse.awake_since()) > ALONE_AFTER
+
     def _way(self) -> str:
         if not self.state.troubled():
             return "reached"
@@ -404,6 +419,8 @@
         """Serve a user here, or through a peer while the state service does not serve this
         controller."""
         if self.state.troubled():
+            if self._alone():
+                return busy(2)  # at once: there is nobody to ask
             relayed = await self._relay(request)
             if relayed is not None:
                 return relayed
@@ -477,6 +494,8 @@
         A controller that the state service does not serve may know only a former leader. Four
         that did so once sent all workers round in a ring, and none came to the fifth, which led.
         """
+        if self._alone():
+            return None  # whoever led when it was cut off may have ended long ago
         if self.tuning.reach:
             member = self.reach.conductor()
         else:
--- a/dappledrum/dispatch/machines.py
+++ b/dappledrum/dispatch/machines.py
@@ -36,11 +36,13 @@
         self.clock = clock
         self.sizes: set[Size] = set()  # of the tasks of live jobs
         self.awake_since = ZERO
+        self.one_sided = False  # this controller is not heard, so no machine is deaf
         self._moments: dict[str, tuple[timedelta, timedelta]] = {}  # for one plan
 
     def refresh(self) -> None:
         """Work out anew what the lanes of a plan rest on."""
         self.awake_since = self.keeper.awake_since()
+        self.one_sided = self.roster.one_sided()
         self.sizes = {
             Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for job in self.jobs.values()
         }
@@ -79,6 +81,8 @@
         """Whether something new may be put on a machine, now or when it is up."""
         if not machine.usable:
             return False
+        if machine.rumour or (machine.hearing.deaf and not self.one_sided):
+            return False
         report = self.params.workers.report
         return not machine.up or not (
             machine.silent(now, report, self.awake_since) or now < machine.blocked_until
--- a/dappledrum/dispatch/work.py
+++ b/dappledrum/dispatch/work.py
@@ -27,6 +27,9 @@
 NO_LIMIT = 1e18
 SMALL = 4  # tasks of a job that may share a bag with others
 ALIKE = 1.3  # factor up to which run times count as alike
+#: A job of which nothing has begun for so long gets its first task before all others. Users count
+#: on the start of every job within four minutes, and this leaves as much again for room to come.
+BEGIN_BY = timedelta(seconds=120)
 OPTIMISM = 0.8  # a deadline is given up only when even tasks shorter than estimated would miss it
 
 
@@ -216,6 +219,14 @@
         # for it.
         missed = limit is None or idle
         due = now + (limits[-1] if limit is None else limit)
+        # In order of deadlines what is late already waits for all that can still be in time, and
+        # in a flood it waited for ever.
+        overdue = (
+            waited > BEGIN_BY and not (idle or held) and job.done == 0 and not job.on_machines()
+        )
+        if overdue:
+            missed, due = False, now + run
+            ready = ready if gang else 1
         zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
         return Bag(
             id=job.id,
@@ -233,7 +244,7 @@
                 zones if spec.one_zone else set(),
                 idle and spec.spot and spec.checkpoint_s <= 0,
             ),
-            rank=self._rank(job, 2 if held or idle else int(missed), due - run),
+            rank=self._rank(job, 2 if held or idle else -1 if overdue else int(missed), due - run),
             one_zone=spec.one_zone and not zones,
             zone_room=self._zone_room(job) if spec.spread else None,
             team=spec.team,
--- a/dappledrum/fleet/keeper.py
+++ b/dappledrum/fleet/keeper.py
@@ -273,7 +273,8 @@
             return "it has no work that it is needed for"
         if not machine.up or not self.planned or machine.name in self.needed:
             return None
-        if self.keep_spot and machine.kind is not None and machine.kind.spot:
+        spared = self.keep_spot and machine.kind is not None and machine.kind.spot
+        if spared and not machine.hearing.deaf:
             return None
         interval = self.interval(machine.kind) if machine.kind is not None else self.base_interval
         left = interval - (now - machine.rented_at) % interval
@@ -314,6 +315,7 @@
             if machine.kind is None:
                 machine.kind = Kind(item.type, item.zone, item.spot)
             machine.listed_at = now
+            machine.rumour = False
             machine.failed |= item.state == "failed"
             machine.listed_up |= item.state == "running"
         if not self.listed:
--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -39,7 +39,9 @@
         groups: dict[tuple[Kind, int], list[str]] = {}
         for machine in self.roster:
             age = now - machine.rented_at
-            if machine.up or machine.returning or machine.kind is None or age > KEPT:
+            if machine.up or machine.returning or machine.rumour or age > KEPT:
+                continue
+            if machine.kind is None:
                 continue
             # Whole seconds, and only changes of the machines matter: clocks wander by less.
             at = known.get(machine.name, int((today - age).timestamp()) * 1000)
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -318,6 +318,8 @@
         self.pages: dict[int, Page] = {}
         self.page(0).load(record.page, version)
         self.done = self.pages[0].done.bit_count()
+        # A task of it has run, as far as this leader knows; a predecessor has told it, then.
+        self.begun = self.done > 0 or self.on_machines() > 0
         self.ending = False  # the transaction that ends it is on its way
         self.over = False
         self.errors: dict[str, int] = {}  # failures by machine, since the last success
--- a/dappledrum/leading/leader.py
+++ b/dappledrum/leading/leader.py
@@ -107,6 +107,7 @@
             self.wake,
             self.ledger,
             lambda: term.clear_at,
+            awake_since,
         )
         self.keeper = Keeper(
             cloud,
@@ -453,7 +454,8 @@
         if machine is None:
             if known is None or not holding():
                 return None
-            known.last_answer = self.clock.now()
+            # No sign of life, and no new lease either: what an answer renews counts from the
+            # sending of its report, and this worker has sent a newer one since, which has come.
             return Commands(self.term.epoch, [])
         if self.leading():
             await self._wait_for_work(machine, most)
@@ -461,6 +463,8 @@
             return None
         now = self.clock.now()
         machine.last_answer = max(machine.last_answer, now)
+        if (machine.session, machine.sequence) == (report.session, report.sequence):
+            machine.hearing.answered(now, self.params.workers.lease)
         fresh = (machine.session, machine.sequence) == (report.session, report.sequence)
         commands = self.bookkeeper.commands(machine, report, fresh and self.leading())
         return Commands(self.term.epoch, commands)
@@ -469,6 +473,8 @@
         """Starts go only into answers, and the next report may be seconds away, so an answer waits
         a little: for the plan that the report itself has woken, or, when the machine is idle, for
         any plan that gives it something; then for the record of what it was given."""
+        if not machine.up:
+            return  # the next report shows whether it hears us; until then it gets nothing
         if not self.bookkeeper.pending(machine):
             patience = ZERO
             if self.woken.is_set():
--- a/dappledrum/model/rules.py
+++ b/dappledrum/model/rules.py
@@ -14,6 +14,9 @@
     told: str | None = None  # final state that a user has been told
     cancel_asked: bool = False
     cancelled_at: float | None = None
+    submitted_at: float | None = None
+    begun_at: float | None = None  # its first task has started
+    unanswered_since: float | None = None  # no question about it was answered since
     done: set[int] = field(default_factory=set)
 
 
@@ -28,14 +31,18 @@
     broken: list[str] = field(default_factory=list)
     starts: int = 0
     in_part: dict[str, float] = field(default_factory=dict)  # gangs in part on machines, since
+    quiet_at: float | None = None  # all troubles are over since then; None: they are not
+    known_s: float = 75.0  # how long after that no question about a job may be answered
+    longest_s: float = 0.0  # that happened
     part_s: float = 60.0  # how long one may be: a gang's wait, and a lease until a loss is proven
 
     def _break(self, rule: str, at: float, what: str) -> None:
         self.broken.append(f"{rule} at {at:.2f}: {what}")
 
-    def submitted(self, spec: dict[str, Any]) -> None:
+    def submitted(self, spec: dict[str, Any], at: float = 0.0) -> None:
         """A user begins to submit a job."""
         facts = self.jobs.setdefault(spec["id"], JobFacts(spec))
+        facts.submitted_at = at if facts.submitted_at is None else facts.submitted_at
         if not facts.accepted:
             facts.spec = spec  # what was refused before counts for nothing
 
@@ -51,6 +58,8 @@
     def poll_answer(self, at: float, job: str, status: int, state: str | None) -> None:
         """A user was told a state, or that there is no such job."""
         facts = self.jobs.get(job)
+        if facts is not None:
+            facts.unanswered_since = None
         if status == 404 and facts is not None and facts.accepted:
             self._break("forgotten", at, f"{job} unknown")
         if status == 200:
@@ -59,6 +68,48 @@
             else:
                 self._state(at, job, str(state))
 
+    def not_answered(self, at: float, job: str) -> None:
+        """A user has asked, and was told nothing.
+
+        Once all troubles are over, an accepted job about which no question is answered for some
+        time counts as forgotten, however others fare.
+        """
+        facts = self.jobs.get(job)
+        if facts is None or not facts.accepted:
+            return
+        if facts.unanswered_since is None:
+            facts.unanswered_since = at
+        if self.quiet_at is not None:
+            span = at - max(facts.unanswered_since, self.quiet_at)
+            self.longest_s = max(self.longest_s, span)
+            if span > self.known_s:
+                self._break("forgotten", at, f"{job}: no question was answered for {span:.0f} s")
+
+    def largest(self) -> dict[str, list[JobFacts]]:
+        """Of each class, the largest tenth by tasks and by CPUs of a task, at least one each."""
+        classes: dict[str, list[JobFacts]] = {}
+        for facts in self.jobs.values():
+            if facts.accepted and facts.told != "cancelled" and not facts.cancel_asked:
+                classes.setdefault(facts.spec["pattern"], []).append(facts)
+        result = {}
+        for name, of in classes.items():
+            chosen: dict[str, JobFacts] = {}
+            for wire in ("beats", "vcpus"):
+                ordered = sorted(of, key=lambda f, wire=wire: -f.spec[wire])
+                chosen.update((f.spec["id"], f) for f in ordered[: max(1, len(of) // 10)])
+            result[name] = list(chosen.values())
+        return result
+
+    def check_largest(self, at: float, within_s: float = 240.0) -> None:
+        """The largest jobs, too, begin in time; to be asked when that time is over for all."""
+        for name, of in self.largest().items():
+            for facts in of:
+                came = facts.submitted_at or 0.0
+                began = facts.begun_at if facts.begun_at is not None else at
+                if began - came > within_s:
+                    what = f"{facts.spec['id']} of {name} began after {began - came:.0f} s"
+                    self._break("starved", at, what)
+
     def cancel_asked(self, job: str) -> None:
         """A user asks to cancel."""
         self.jobs[job].cancel_asked = True
@@ -109,6 +160,7 @@
         """A task has its image and starts on a machine."""
         self.starts += 1
         facts = self.jobs[job]
+        facts.begun_at = at if facts.begun_at is None else facts.begun_at
         places = self.running.setdefault((job, task), {})
         if any(other != machine for other in places):
             self._break("ran_twice", at, f"{job}/{task} on {machine} and {', '.join(places)}")
--- a/dappledrum/model/test_rules.py
+++ b/dappledrum/model/test_rules.py
@@ -163,3 +163,42 @@
     checker = rules(*SPECS)
     good(checker)
     assert not checker.broken
+
+
+def known(rules):
+    rules.submitted(job(1), 0.0)
+    rules.submit_answer(1.0, "j-000001", 201, "pending")
+    return rules
+
+
+def test_a_job_about_which_no_question_is_answered_is_forgotten():
+    rules = known(Rules(30.0, {}))
+    rules.not_answered(10.0, "j-000001")
+    rules.not_answered(200.0, "j-000001")
+    assert not rules.broken, "while troubles last nothing counts"
+    rules.quiet_at = 210.0
+    rules.not_answered(284.0, "j-000001")
+    assert not rules.broken
+    rules.poll_answer(284.5, "j-000001", 200, "pending")
+    rules.not_answered(285.0, "j-000001")
+    rules.not_answered(359.0, "j-000001")
+    assert not rules.broken, "one answer was enough to begin anew"
+    rules.not_answered(360.5, "j-000001")
+    assert len(rules.broken) == 1 and "forgotten" in rules.broken[0]
+
+
+def test_the_largest_jobs_that_do_not_begin_are_starved():
+    rules = Rules(30.0, {})
+    for number in range(12):
+        rules.submitted(job(number, beats=number + 1, vcpus=4.0 if number == 3 else 1.0), 10.0)
+        rules.submit_answer(10.0, f"j-{number:06d}", 201, "pending")
+    rules.check_largest(240.0)
+    assert not rules.broken
+    for number in range(3, 11):
+        rules.started(20.0, "m", ("small", "a", True), f"j-{number:06d}", 0)
+    rules.check_largest(260.0)
+    assert len(rules.broken) == 1 and "j-000011" in rules.broken[0], "the others are small"
+    rules.started(249.0, "m", ("small", "a", True), "j-000011", 0)
+    rules.broken.clear()
+    rules.check_largest(260.0)
+    assert not rules.broken
--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -101,6 +101,7 @@
         self.began = clock.now()
         self.born = int(clock.today().timestamp() * 1000)
         self.silent: dict[str, timedelta] = {}
+        self.heard_at: timedelta | None = None  # words of any peer, newly told
         self._news: dict[str, asyncio.Event] = {peer: asyncio.Event() for peer in peers.callers}
 
     async def run(self) -> None:
@@ -171,6 +172,7 @@
     def hear(self, words: Words | WordsReply) -> None:
         """Words of a peer."""
         now = self.clock.now()
+        self.heard_at = now
         self.table.note(words.own, now, direct=True)
         for word in words.heard[: len(self.table.members)]:
             if word.member == self.member:
--- a/dappledrum/standins/days.py
+++ b/dappledrum/standins/days.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Meta
 
+from dappledrum.standins.network import Copies
 from dappledrum.standins.world import World
 
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
@@ -35,6 +36,9 @@
     from_workers: bool = False
     mode: str = "hold"
     every_s: Seconds = 0.0
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    least_s: Seconds = 1.0
+    most_s: Seconds = 0.0
 
 
 class Day(msgspec.Struct):
@@ -132,6 +136,29 @@
         _later(fault.for_s, lambda w=worker: setattr(w, "hung", False))
 
 
+def _deaf(world: World, fault: Fault, _back: float) -> None:
+    """Their reports arrive, answers and commands don't reach them."""
+    up = world.cloud.workers()
+    count = round(fault.share * len(up)) if fault.share else fault.count
+    chosen = world.rng.sample(up, min(count, len(up)))
+    pairs = {(member, worker.name) for worker in chosen for member in world.members}
+    world.network.blocked |= pairs
+    _later(fault.for_s, lambda: world.network.blocked.difference_update(pairs))
+
+
+def _alone(world: World, fault: Fault, _back: float) -> None:
+    """They lose the state service and the other controllers, not their workers."""
+    for member in _chosen(world, fault):
+        world.isolate(member)
+    _later(fault.for_s, world.network.heal)
+
+
+def _copies(world: World, fault: Fault, _back: float) -> None:
+    """Reports come again, late, to any controller."""
+    world.network.copies = Copies(fault.share, fault.least_s, fault.most_s, world.members)
+    _later(fault.for_s, lambda: setattr(world.network, "copies", None))
+
+
 def _cloud(world: World, fault: Fault, _back: float) -> None:
     world.cloud.out = True
     _later(fault.for_s, lambda: setattr(world.cloud, "out", False))
@@ -147,6 +174,9 @@
     "machine_die": _die,
     "machine_hang": _hang,
     "cloud_outage": _cloud,
+    "machine_deaf": _deaf,
+    "node_alone": _alone,
+    "late_copies": _copies,
 }
 
 
--- a/dappledrum/standins/network.py
+++ b/dappledrum/standins/network.py
@@ -24,6 +24,17 @@
     body: bytes
 
 
+class Copies(NamedTuple):
+    """Requests that are delivered again, by a new connection, to any of some hosts; nobody hears
+    the answer."""
+
+    share: float
+    least_s: float
+    most_s: float
+    targets: tuple[str, ...]  # of reports; anything else comes again where it came before
+    paths: tuple[str, ...] = ("/hello",)
+
+
 def host(name: str) -> str:
     """The machine of an address: controllers have two, for users and workers and for peers."""
     return name.removeprefix("back-")
@@ -45,6 +56,8 @@
         #: Told of each request as it arrives; seconds until it is executed, after its sender has
         #: given up on it, or None: as ever.
         self.watcher: Callable[[Sent], float | None] | None = None
+        self.copies: Copies | None = None
+        self.copied = 0
         self.held: list[tuple[str, str, str, str, bytes]] = []
         self.late = 0
 
@@ -74,6 +87,21 @@
         if target in self.services:
             await self.services[target](source, method, path, body)
 
+    def _copy(self, source: str, target: str, method: str, path: str, body: bytes) -> None:
+        """Draw whether a request comes again, when and where."""
+        copies = self.copies
+        if copies is None or not path.startswith(copies.paths):
+            return
+        if self.rng.random() >= copies.share:
+            return
+        if path == "/hello":
+            target = self.rng.choice(copies.targets)
+        self.copied += 1
+        after = self.rng.uniform(copies.least_s, copies.most_s)
+        asyncio.get_running_loop().create_task(
+            self._late(source, target, method, path, body, after), context=contextvars.Context()
+        )
+
     def caller(self, source: str, target: str) -> "Link":
         """A client at one host for a service at another."""
         return Link(self, source, target)
@@ -109,6 +137,7 @@
         if pair in network.cuts or there in network.blocked:
             network.held.append((self.source, self.target, method, path, body))
             await asyncio.sleep(3600)
+        network._copy(self.source, self.target, method, path, body)
         if network.watcher is not None:
             after = network.watcher(Sent(self.source, self.target, path, body))
             if after is not None:
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -318,6 +318,16 @@
             self.network.cut(member, target)
             self.network.cut("back-" + member, target)
 
+    def isolate(self, member: str) -> None:
+        """Cut a controller off from the state service and the other controllers, not from its
+        workers."""
+        others = [other for other in self.members if other != member]
+        self.cut_off(member, "state", *others, *("back-" + other for other in others))
+
+    def deafen(self, names: list[str]) -> None:
+        """Reports of these machines arrive, answers and commands don't reach them."""
+        self.network.blocked |= {(member, name) for name in names for member in self.members}
+
     # time
 
     async def wait(self, seconds: float) -> None:
@@ -359,7 +369,7 @@
         self, spec: dict[str, Any], tries: int = 40, member: str | None = None
     ) -> int | None:
         """Submit a job, and again until there is an answer."""
-        self.rules.submitted(spec)
+        self.rules.submitted(spec, asyncio.get_running_loop().time())
         body = json.dumps(
             {key: value for key, value in spec.items() if key not in ("runS", "broken")}
         ).encode()
@@ -378,8 +388,10 @@
 
     async def poll(self, name: str, member: str | None = None) -> str | None:
         """Ask for a job's state once."""
+        asked = asyncio.get_running_loop().time()
         reply = await self._ask("GET", f"/submissions/{name}", None, member)
-        if reply is None:
+        if reply is None or reply.status not in (200, 404):
+            self.rules.not_answered(asked, name)
             return None
         state = json.loads(reply.body).get("stance") if reply.status == 200 else None
         self.rules.poll_answer(asyncio.get_running_loop().time(), name, reply.status, state)
--- a/dappledrum/state/client.py
+++ b/dappledrum/state/client.py
@@ -100,6 +100,10 @@
         """Requests have failed for a while, and none was served since."""
         return self.failing_since is not None and self.clock.now() - self.failing_since > TROUBLE
 
+    def failing_for(self) -> timedelta | None:
+        """How long no request has been served, although some were tried; None: the newest was."""
+        return None if self.failing_since is None else self.clock.now() - self.failing_since
+
     def hanging(self) -> bool:
         """The newest failure was one without an answer, so the next request would wait in vain,
         too."""
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -55,7 +55,9 @@
         wake: Callable[[str], None],
         ledger: Ledger | None = None,
         clear_at: Callable[[], timedelta | None] = lambda: ZERO,
+        awake_since: Callable[[], timedelta] = lambda: ZERO,
     ) -> None:
+        self.awake_since = awake_since
         self.clear_at = clear_at  # nobody else has answered since; None: not known
         self.ledger = ledger or Ledger(roster, clock)
         self.jobs = jobs
@@ -80,22 +82,28 @@
         now = self.clock.now()
         if report.machine in self.roster.gone:
             return None
+        rumour = self.roster.get(report.machine) is None
         machine = self.roster.ensure(
             report.machine, Kind(report.type, report.zone, report.spot), now
         )
-        if (report.session, report.sequence) <= (machine.session, machine.sequence):
+        if rumour:
+            machine.rumour = report.token != self.token
+        if self._copied(machine, report, now):
             return None
         if report.session > machine.session and machine.up:
             machine.images.clear()
             log.info("%s is in session %d now", machine.name, report.session)
+        self._listen(machine, report, now)
         machine.session, machine.sequence, machine.token = (
             report.session,
             report.sequence,
             report.token,
         )
         machine.last_report = now
-        if not machine.up:
+        known = report.token == self.token or machine.asked_at is not None
+        if known and not machine.up:
             machine.up_at = now
+            machine.rumour = False
             log.info("%s is up (%s in %s)", machine.name, report.type, report.zone)
             self.wake("machine up")
         if report.notice_s is not None:
@@ -108,6 +116,50 @@
             self._leave_in_time(machine, machine.recall_at - now, now)
         return machine
 
+    def _copied(self, machine: Machine, report: Report, now: timedelta) -> bool:
+        """Whether a report can only be a late copy, or one that was held back.
+
+        It is if a newer one has come. It is, too, if a worker whose newest report showed this
+        term's token shows an older one, as workers keep the highest. And if its session should
+        have ended: in a session that has never shown our token nobody was answered since it began,
+        or since the last moment at which a predecessor may have answered, so it lasts a lease from
+        then. A leader that has just taken over knows none of these: to it a copy looks like a
+        report, for a lease at the most. So what rests on one alone is undone by nothing but time:
+        the lease's clock, which may run for longer than it must. It is no sign of life (`up`).
+        """
+        if (report.session, report.sequence) <= (machine.session, machine.sequence):
+            return True
+        if report.token >= self.token:
+            return False
+        if machine.hearing.token_shown:
+            return True
+        clear = self.clear_at()
+        if report.session > machine.session or clear is None:
+            return False
+        return machine.hearing.lasts(now, self.limits.lease) and now > (
+            clear + longer(self.limits.lease) + GONE_MARGIN
+        )
+
+    def _listen(self, machine: Machine, report: Report, now: timedelta) -> None:
+        """Whether the machine hears this controller."""
+        hearing, lease = machine.hearing, self.limits.lease
+        heard = False
+        if report.token == self.token and not hearing.token_shown:
+            heard = hearing.token_shown = True
+        if report.session > machine.session:
+            if hearing.new_session(now, lease, self.awake_since()):
+                log.warning("%s lost its session though it was answered", machine.name)
+        elif report.token == self.token and hearing.lasts(now, lease):
+            heard = hearing.deaf
+        elif report.token < self.token and hearing.answered_at is not None:
+            self._vain(machine, "does not take this term's token on")
+        if heard and hearing.heard():
+            log.info("%s hears again", machine.name)
+
+    def _vain(self, machine: Machine, why: str) -> None:
+        if machine.hearing.in_vain():
+            log.warning("%s %s: its reports come, but no answer reaches it", machine.name, why)
+
     def _leave_in_time(self, machine: Machine, left: timedelta, now: timedelta) -> None:
         """Stop what won't be over when the cloud takes the machine, so that it begins elsewhere
         now and not when the loss is proven; what keeps its progress, when it must save."""
@@ -139,8 +191,15 @@
             job = self.jobs.get(name)
             if job is not None and int(number) < job.spec.tasks:
                 self._item(machine, job, int(number), item, now)
+        vain = False
         for placement in list(machine.placements.values()):
             job_id = placement.page.job.id
+            vain |= (
+                0 <= placement.offered_tick < report.sequence
+                and not placement.seen
+                and not placement.lost
+                and placement.session == report.session
+            )
             if placement.session < report.session:
                 self._lost(machine, placement, "its session is over", Entry.LOST_SILENT)
             elif (
@@ -155,6 +214,12 @@
                 and (placement.seen or placement.lost or not self._wanted(placement))
             ):
                 self._lost(machine, placement, "no longer there", Entry.LOST_STOPPED)
+        if vain:
+            self._vain(machine, "does not begin what it is given")
+        if machine.hearing.deaf:
+            for placement in machine.placements.values():
+                # Not offered any more, so the next report without it proves that it is not there.
+                placement.lost |= not placement.seen
 
     def _item(
         self, machine: Machine, job: Job, task: int, item: TaskReport, now: timedelta
@@ -166,10 +231,16 @@
         if item.state == TaskState.ENDED:
             self._ended(machine, job, page, task, placement, item, now)
         elif placement is not None:
+            if not placement.seen and placement.offered_tick >= 0 and machine.hearing.heard():
+                log.info("%s hears again", machine.name)
             placement.seen = True
             placement.gathering = item.state == TaskState.WAITING
             if item.state == TaskState.RUNNING and placement.running_at is None:
                 placement.running_at = now
+                if not job.begun:
+                    job.begun = True
+                    waited = (self.clock.today() - job.accepted_at).total_seconds()
+                    log.info("%s began %.1f s after it came", job.id, waited)
                 cache = (
                     self.cache_gb.get(machine.kind.type, 1e9) if machine.kind is not None else 1e9
                 )
--- a/dappledrum/workers/roster.py
+++ b/dappledrum/workers/roster.py
@@ -8,8 +8,8 @@
 from dappledrum.jobs.record import Placement
 from dappledrum.scheduling.lanes import Kind
 from dappledrum.timing.clock import longer
+from dappledrum.workers.hearing import GONE_MARGIN, Hearing
 
-GONE_MARGIN = timedelta(milliseconds=500)
 KEPT_NAMES = 2_000
 
 
@@ -44,10 +44,16 @@
         self.listed_at: timedelta | None = None
         self.listed_up = False  # the cloud's list has shown it as running
         self.given = asyncio.Event()  # something was placed there
+        self.hearing = Hearing()
+        #: Only a report that may be a late copy speaks of it: no room to plan on, and nothing to
+        #: remember. Records, the cloud's list, a rental or this term's token say more.
+        self.rumour = False
 
     @property
     def up(self) -> bool:
-        """Its worker has reported to this leader."""
+        """Its worker has reported to this leader, and can't be a late copy of one that has gone:
+        it has shown this term's token, or was rented in this term, so that every report of it has
+        come to this leader first."""
         return self.up_at is not None
 
     @property
@@ -111,6 +117,12 @@
             machine.kind = kind
         return machine
 
+    def one_sided(self) -> bool:
+        """Most machines that are up seem to hear nothing: it is this controller that can't be
+        heard, and none of them is to blame."""
+        up = [machine for machine in self.machines.values() if machine.up]
+        return sum(machine.hearing.deaf for machine in up) * 2 > len(up)
+
     def drop(self, name: str) -> None:
         """The machine is gone; late words about it must not bring it back."""
         self.machines.pop(name, None)
--- /dev/null
+++ b/dappledrum/workers/test_hearing.py
@@ -0,0 +1,136 @@
+"""Machines that hear nothing, told apart from those that hung, were cut off or are slow; and late
+copies of reports, as a plain model of what a worker can have sent when."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+from dappledrum.scheduling.estimates import Estimates
+from dappledrum.settings import WorkerLimits
+from dappledrum.standins.time import run
+from dappledrum.timing.clock import Clock
+from dappledrum.workers.bookkeeping import Bookkeeper
+from dappledrum.workers.hearing import Hearing
+from dappledrum.workers.messages import Report
+from dappledrum.workers.roster import Roster
+
+LEASE = timedelta(seconds=10)
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+def answered(*moments):
+    hearing = Hearing()
+    for moment in moments:
+        hearing.answered(seconds(moment), LEASE)
+    return hearing
+
+
+def test_a_session_that_ends_in_spite_of_answers_shows_a_deaf_machine():
+    assert answered(*range(20)).new_session(seconds(21), LEASE, seconds(0))
+    assert answered(*range(0, 20, 6)).new_session(seconds(21), LEASE, seconds(0)), "its search"
+
+
+def test_who_hung_or_was_cut_off_or_was_not_answered_is_not_deaf():
+    assert not answered(*range(10)).new_session(seconds(21), LEASE, seconds(0)), "hung"
+    held = answered(*range(10), 20.9, 20.95, 21)
+    assert not held.new_session(seconds(21.1), LEASE, seconds(0)), "held back until now"
+    assert not answered(*range(20)).new_session(seconds(21), LEASE, seconds(19)), "we hung"
+    assert not Hearing().new_session(seconds(21), LEASE, seconds(0)), "never answered"
+
+
+def test_it_serves_again_when_it_shows_that_it_hears():
+    hearing = answered(1)
+    assert not hearing.in_vain() and hearing.in_vain() and hearing.deaf
+    assert not hearing.in_vain(), "said once"
+    assert hearing.heard() and not hearing.deaf and not hearing.in_vain()
+
+
+class Plain:
+    """A worker, and a leader that took over at 0 from one whose token was 4; every report that was
+    ever sent may come again."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.session, self.sequence, self.token = 1, 0, 4
+        self.renewed = -rng.uniform(0, 10)
+        self.sent = []
+        self.seen = (0, -1)
+
+    def step(self, at):
+        """A report, or none, or the answer to it; returns the report."""
+        if at > self.renewed + 10:
+            self.session += 1
+            self.renewed = at
+        self.sequence += 1
+        report = (at, self.session, self.sequence, self.token)
+        self.sent.append(report)
+        return report
+
+    def answer(self, report):
+        self.token = 5
+        self.renewed = max(self.renewed, report[0])
+
+
+def test_copies_of_any_age_are_told_apart_or_change_nothing_that_matters():
+    """Drawn lives: reports lost, answers lost, copies in any order. What is taken on after this
+    term's token was shown is in order and true; before, for a lease at the most."""
+
+    async def life(seed):
+        rng = random.Random(seed)
+        clock = Clock()
+        began = clock.now()
+        books = Bookkeeper(
+            {},
+            Roster(),
+            Estimates(),
+            WorkerLimits(1.0, 10.0, 30.0),
+            clock,
+            5,
+            lambda page: None,
+            lambda why: None,
+            clear_at=lambda: began,
+        )
+        worker = Plain(rng)
+        for _ in range(rng.randint(0, 20)):  # under the predecessor
+            worker.step(-rng.uniform(0, 30))
+        dies = rng.choice((5.0, 20.0, 200.0))
+        hears = rng.choice((0.0, 0.5, 1.0))
+        taken = []
+
+        def comes(report, copy):
+            at, session, sequence, token = report
+            text = Report("m", "10.1.0.1:1", "small", "a", True, session, sequence, token)
+            machine = books.take(text)
+            if machine is None:
+                return
+            taken.append((now, report, copy))
+            machine.hearing.answered(clock.now(), LEASE)
+            if not copy and rng.random() < hears:
+                worker.answer(report)
+
+        shown = False
+        for _ in range(60):
+            now = (clock.now() - began).total_seconds()
+            if now < dies and rng.random() < 0.8:
+                comes(worker.step(now), False)
+            for report in rng.sample(worker.sent, min(len(worker.sent), rng.randint(0, 3))):
+                comes(report, True)
+            machine = books.roster.get("m")
+            shown |= machine is not None and machine.hearing.token_shown
+            assert machine is None or machine.up == shown, "no copy of a former term's is life"
+            assert shown <= (worker.token == 5)
+            await asyncio.sleep(1)
+        orders = [report[1:3] for _, report, _ in taken]
+        assert orders == sorted(set(orders)), "each once, and in order"
+        first = {}
+        for now, (_, session, _, token), copy in taken:
+            first.setdefault(session, now)
+            if copy and token < 5:
+                assert now - max(first[session], 0) <= 10.1 + 1, "for a lease at the most"
+        return len(taken), sum(copy for _, _, copy in taken)
+
+    counts = [run(life(seed)) for seed in range(120)]
+    assert sum(copies for _, copies in counts) > 20, "some were first"
