A record that can't be read is the trouble of its own job; rumours of machines that only records name

Need: every accepted job stays known, however others fare. One unreadable record failed a batch of polls, and kept a leader from reading all others (test in jobs/test_intake.py, on the sources before: no leader reads anything). Change: the job of such a record is left alone, with an error in the log; a machine of which a record gives the name and a copy the kind is no room to plan on, either.

--- a/dappledrum/chains/lookup.py
+++ b/dappledrum/chains/lookup.py
@@ -12,9 +12,10 @@
 from datetime import timedelta
 
 from dappledrum.jobs.messages import Form, JobRecord
+from dappledrum.jobs.polls import Live
 from dappledrum.jobs.record import ended_key, head_key
 from dappledrum.state.budget import Rank
-from dappledrum.state.client import ConflictError, RefusedError, State
+from dappledrum.state.client import ConflictError, RefusedError, State, StateError
 from dappledrum.state.messages import Guard
 
 KEPT = 20_000
@@ -30,7 +31,7 @@
         state: State,
         most_guards: int,
         read: Callable[[str], Awaitable[JobRecord | None]],
-        read_many: Callable[[set[str]], Awaitable[dict[str, tuple[JobRecord, int]]]],
+        read_many: Callable[[set[str]], Awaitable[dict[str, Live]]],
     ) -> None:
         self.state = state
         self.most_names = max(1, most_guards // 2)
@@ -82,6 +83,6 @@
         """Forms of live jobs; those that have ended meanwhile are left out."""
         if len(names) > SINGLE:
             many = await self.read_many(names)
-            return {name: record.spec.form for name, (record, _) in many.items()}
+            return {n: v[0].spec.form for n, v in many.items() if not isinstance(v, StateError)}
         records = await asyncio.gather(*(self.read(name) for name in names))
         return {record.spec.id: record.spec.form for record in records if record is not None}
--- a/dappledrum/jobs/intake.py
+++ b/dappledrum/jobs/intake.py
@@ -28,7 +28,7 @@
     Spec,
 )
 from dappledrum.jobs.parts import LONG, split_spec
-from dappledrum.jobs.polls import Found, Polls, Seen, seen
+from dappledrum.jobs.polls import Found, Live, Polls, Seen, seen
 from dappledrum.jobs.record import ended_key, head_key, page_size, spec_key
 from dappledrum.settings import Params
 from dappledrum.state.budget import Rank
@@ -268,14 +268,19 @@
         self.remember(job, record)
         return record
 
-    async def _find_many(self, jobs: set[str]) -> dict[str, tuple[JobRecord, int]]:
-        """Those of the jobs that are live, from one look at all live ones."""
+    async def _find_many(self, jobs: set[str]) -> dict[str, Live]:
+        """Those of the jobs that are live, from one look at all live ones; a record that can't be
+        read is the trouble of those who ask for its job, not of all who ask together."""
         entries, _ = await self.state.scan(head_key(""), Rank.POLL)
-        return {
-            job: (self._decode(entry.value, JobRecord), entry.version)
-            for entry in entries
-            if (job := entry.key.removeprefix(head_key(""))) in jobs
-        }
+        result: dict[str, Live] = {}
+        for entry in entries:
+            job = entry.key.removeprefix(head_key(""))
+            if job in jobs:
+                try:
+                    result[job] = self._decode(entry.value, JobRecord), entry.version
+                except StateError as error:
+                    result[job] = error
+        return result
 
     @staticmethod
     def _decode(value: msgspec.Raw, kind: type[T]) -> T:
--- a/dappledrum/jobs/polls.py
+++ b/dappledrum/jobs/polls.py
@@ -37,6 +37,7 @@
     running: int
 
 
+Live = tuple[JobRecord, int] | StateError  # of a live job, or why its record is of no use
 Found = tuple[JobRecord, int] | EndedRecord | None
 Told = Seen | EndedRecord | None
 
@@ -54,7 +55,7 @@
         state: State,
         most_guards: int,
         find: Callable[[str, Rank], Awaitable[Found]],
-        find_many: Callable[[set[str]], Awaitable[dict[str, tuple[JobRecord, int]]]],
+        find_many: Callable[[set[str]], Awaitable[dict[str, Live]]],
         find_ended: Callable[[str, Rank], Awaitable[EndedRecord | None]],
     ) -> None:
         self.state = state
@@ -134,12 +135,15 @@
         find: Callable[[str, Rank], Awaitable[Found]] = self.find
         if len(missing) > SINGLE:
             find = self.find_ended  # what is not among the live ones now was over before
-            for job, (record, version) in (await self.find_many(missing)).items():
-                result[job] = seen(record)
-                self.note(job, seen(record), version)
+            for job, found in (await self.find_many(missing)).items():
+                if isinstance(found, StateError):
+                    result[job] = found
+                else:
+                    result[job] = seen(found[0])
+                    self.note(job, seen(found[0]), found[1])
             missing -= result.keys()
-        found = await asyncio.gather(*(self._single(find, job) for job in missing))
-        result.update(zip(missing, found, strict=True))
+        singly = await asyncio.gather(*(self._single(find, job) for job in missing))
+        result.update(zip(missing, singly, strict=True))
         return result
 
     async def _unchanged(self, jobs: set[str]) -> dict[str, Seen]:
--- a/dappledrum/jobs/test_intake.py
+++ b/dappledrum/jobs/test_intake.py
@@ -207,3 +207,29 @@
         assert intake.types is types and reply.status == 503
 
     run(main())
+
+
+def test_a_record_that_cannot_be_read_is_the_trouble_of_its_own_job():
+    """It made a batch of polls fail, and kept a leader from reading the others."""
+
+    async def main():
+        world = World(seed=9)
+        await world.until(lambda: world.leader() is not None)
+        names = [f"j-{number:06d}" for number in range(6)]
+        for number in range(6):
+            assert await world.submit(job(number, runS=20.0)) == 201
+        await world.until(lambda: world.rules.starts >= 4)
+        bad = names[2]
+        world.state.tally += 1
+        world.state.keys[f"job/{bad}"] = ({"spec": 7}, world.state.tally, None)
+        await world.restart_all(0.2)
+        await world.until(lambda: world.leader() is not None)
+        asked = [asyncio.ensure_future(world.poll(name, world.members[0])) for name in names]
+        states = dict(zip(names, await asyncio.gather(*asked), strict=True))
+        assert states.pop(bad) is None, "neither told anything nor forgotten"
+        assert None not in states.values()
+        await world.submit(job(7))
+        await world.finish([*states, "j-000007"], most=200)
+        assert f"job/{bad}" in world.state.keys
+
+    run(main())
--- a/dappledrum/leading/leader.py
+++ b/dappledrum/leading/leader.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from itertools import islice
+from typing import TypeVar
 
 import msgspec
 
@@ -40,6 +41,7 @@
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
 JOBS = "job/"
 PAGES = "page/"
 ROWS = "rows/"
@@ -149,6 +151,7 @@
             # Pages of the version before may be larger than new ones, and are stored in parts.
             min(ceiling.now, ceiling.least * (params.state.txn_ops - 2)),
         )
+        self.unreadable: set[str] = set()  # jobs with a record that can't be read
         self.incomplete: dict[str, None] = {}  # new jobs whose specification is in parts
         self.loaded = asyncio.Event()
         self.woken = asyncio.Event()
@@ -222,38 +225,46 @@
                 *(self.state.scan(prefix, Rank.RECORD) for prefix in (PAGES, ROWS, SPECS))
             )
         ]
+        self.unreadable.clear()
         parts: dict[str, dict[int, SpecPart]] = {}
         for entry in specs:
             _, name, number = entry.key.split("/")
-            part = msgspec.json.decode(entry.value, type=SpecPart)
-            parts.setdefault(name, {})[int(number)] = part
+            part = self._readable(name, entry.value, SpecPart)
+            if part is not None:
+                parts.setdefault(name, {})[int(number)] = part
         self.jobs.clear()
         self.graph.clear()
         for entry in jobs:
-            record = msgspec.json.decode(entry.value, type=JobRecord)
-            own = parts.pop(record.spec.id, {})
+            name = entry.key.removeprefix(JOBS)
+            record = self._readable(name, entry.value, JobRecord)
+            own = parts.pop(name, {})
+            if record is None or name in self.unreadable:
+                continue
             job = Job(record, entry.version, [own[number] for number in sorted(own)])
             job.page(0).stored_bytes = len(bytes(entry.value))
-            self.jobs[record.spec.id] = job
+            self.jobs[name] = job
         for name, left in parts.items():
             self.recorder.garbage.update((spec_key(name, number), None) for number in left)
         for entry in pages:
             _, name, index = entry.key.split("/")
             found = self.jobs.get(name)
+            page = self._readable(name, entry.value, PageRecord)
+            if name in self.unreadable:
+                continue
             if found is None:
                 self.recorder.garbage[entry.key] = None
-            else:
-                found.add_page(
-                    int(index), msgspec.json.decode(entry.value, type=PageRecord), entry.version
-                )
+            elif page is not None:
+                found.add_page(int(index), page, entry.version)
                 found.page(int(index)).stored_bytes = len(bytes(entry.value))
         for entry in rows:
             _, name, index, number = entry.key.split("/")
             found = self.jobs.get(name)
+            record_rows = self._readable(name, entry.value, RowsRecord)
+            if name in self.unreadable:
+                continue
             if found is None or int(number) >= found.page(int(index)).parts:
                 self.recorder.garbage[entry.key] = None
-            else:
-                record_rows = msgspec.json.decode(entry.value, type=RowsRecord)
+            elif record_rows is not None:
                 found.page(int(index)).load_rows(record_rows)
         for job in self.jobs.values():
             self.bookkeeper.restore(job)
@@ -270,6 +281,19 @@
         self.picture.begin()
         self.wake("loaded")
 
+    def _readable(self, name: str, value: msgspec.Raw, kind: type[T]) -> T | None:
+        """A record; None: it can't be read. Its job is left alone then, with all that is stored of
+        it: nothing is removed, and nothing started, as nobody knows where it runs; what runs is
+        stopped, since nobody counts it. One such record would keep a leader from beginning."""
+        try:
+            return msgspec.json.decode(value, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            if name not in self.unreadable:
+                log.error("a record of %s can't be read, its job is left alone: %s", name, error)
+            self.unreadable.add(name)
+            self.jobs.pop(name, None)
+            return None
+
     async def _watch(self) -> None:
         """Hear of submissions and cancellations that any controller took."""
         await self.loaded.wait()
@@ -294,7 +318,9 @@
         job = self.jobs.get(name)
         if name in self.over or (job is not None and version <= job.page(0).version):
             return
-        record = msgspec.json.decode(value, type=JobRecord)
+        record = self._readable(name, value, JobRecord) if name not in self.unreadable else None
+        if record is None:
+            return
         if job is None and record.spec_parts:
             self.incomplete[name] = None
             return
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -82,11 +82,12 @@
         now = self.clock.now()
         if report.machine in self.roster.gone:
             return None
-        rumour = self.roster.get(report.machine) is None
+        known = self.roster.get(report.machine)
+        vague = known is None or known.kind is None  # a record names a machine, and no more
         machine = self.roster.ensure(
             report.machine, Kind(report.type, report.zone, report.spot), now
         )
-        if rumour:
+        if vague:
             machine.rumour = report.token != self.token
         if self._copied(machine, report, now):
             return None
@@ -100,8 +101,8 @@
             report.token,
         )
         machine.last_report = now
-        known = report.token == self.token or machine.asked_at is not None
-        if known and not machine.up:
+        certain = report.token == self.token or machine.asked_at is not None
+        if certain and not machine.up:
             machine.up_at = now
             machine.rumour = False
             log.info("%s is up (%s in %s)", machine.name, report.type, report.zone)
@@ -119,20 +120,17 @@
     def _copied(self, machine: Machine, report: Report, now: timedelta) -> bool:
         """Whether a report can only be a late copy, or one that was held back.
 
-        It is if a newer one has come. It is, too, if a worker whose newest report showed this
-        term's token shows an older one, as workers keep the highest. And if its session should
-        have ended: in a session that has never shown our token nobody was answered since it began,
-        or since the last moment at which a predecessor may have answered, so it lasts a lease from
-        then. A leader that has just taken over knows none of these: to it a copy looks like a
-        report, for a lease at the most. So what rests on one alone is undone by nothing but time:
-        the lease's clock, which may run for longer than it must. It is no sign of life (`up`).
+        It is if a newer one has come, which is so for all with an older token than one that was
+        shown. And it is if its session should have ended: in one that has never shown our token
+        nobody was answered since it began, or since the last moment at which a predecessor may
+        have answered, so it lasts a lease from then. A leader that has just taken over knows
+        neither: to it a copy looks like a report, for a lease at the most. So the lease's clock
+        may run for longer than it must; a sign of life (`up`) it is not.
         """
         if (report.session, report.sequence) <= (machine.session, machine.sequence):
             return True
         if report.token >= self.token:
             return False
-        if machine.hearing.token_shown:
-            return True
         clear = self.clear_at()
         if report.session > machine.session or clear is None:
             return False
--- a/dappledrum/workers/test_bookkeeping.py
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -298,3 +298,19 @@
         assert len(first) == 400 and len(msgspec.json.encode(first)) < 64 * 1024
 
     case(check)
+
+
+def test_what_a_deaf_machine_never_began_is_proven_gone_by_its_next_report():
+    """It was offered again with each report, and lost with the session, a lease later."""
+
+    async def main():
+        desk = Desk()
+        desk.save()
+        for tick in (2, 3):
+            assert desk.report(tick) == [("start", 1)]
+        assert desk.report(4) == [] and desk.roster.get("m").hearing.deaf
+        assert not desk.gone, "the answer to report 3 may have been heard"
+        desk.report(5)
+        assert desk.gone
+
+    run(main())
--- a/dappledrum/workers/test_hearing.py
+++ b/dappledrum/workers/test_hearing.py
@@ -74,6 +74,40 @@
         self.renewed = max(self.renewed, report[0])
 
 
+def test_copies_in_order_of_a_machine_that_is_gone_count_for_a_lease_at_the_most():
+    """A new leader has heard none of them before, and answers them."""
+
+    async def main():
+        clock = Clock()
+        began = clock.now()
+        roster = Roster()
+        books = Bookkeeper(
+            {},
+            roster,
+            Estimates(),
+            WorkerLimits(1.0, 10.0, 30.0),
+            clock,
+            5,
+            lambda page: None,
+            lambda why: None,
+            clear_at=lambda: began,
+        )
+        for tick in range(40):
+            report = Report("m", "10.1.0.1:1", "small", "a", True, 1, tick, 4)
+            if books.take(report) is not None:
+                roster.get("m").hearing.answered(clock.now(), LEASE)
+                roster.get("m").last_answer = clock.now()
+            await asyncio.sleep(1)
+        machine = roster.get("m")
+        assert not machine.up and machine.rumour
+        assert seconds(9) < machine.last_report - began < seconds(12)
+        assert machine.expired(clock.now(), LEASE)
+        back = Report("m", "10.1.0.1:1", "small", "a", True, 2, 41, 4)
+        assert books.take(back) is machine, "a new session was begun by somebody"
+
+    run(main())
+
+
 def test_copies_of_any_age_are_told_apart_or_change_nothing_that_matters():
     """Drawn lives: reports lost, answers lost, copies in any order. What is taken on after this
     term's token was shown is in order and true; before, for a lease at the most."""
