--- a/dappledrum/controller/test_copies.py
+++ b/dappledrum/controller/test_copies.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from dappledrum.standins.fleet import Worker
 from dappledrum.standins.network import Copies
 from dappledrum.standins.time import run
 from dappledrum.standins.world import World, job
@@ -263,6 +264,49 @@
     run(main())
 
 
+@pytest.mark.parametrize("young", [False, True])
+@pytest.mark.parametrize("election", [False, True])
+def test_a_worker_process_that_begins_anew_is_not_taken_for_the_old_one(young, election):
+    """Its `set` and `tick` begin again, below what is known or soon above it, also while another
+    controller comes to lead, and copies of the former one's reports go on coming."""
+
+    async def main():
+        world, names = await busy(7, machines=4, jobs=2)
+        await world.wait(0 if young else 15)
+        long = job(50, beats=4, vcpus=4.0, runS=25.0, expectedS=25.0, dueS=40.0)
+        names.append(long["id"])
+        assert await world.submit(long) == 201
+        await world.wait(4)
+        old = [w for w in world.cloud.workers() if w.attempts][:2]
+        assert old
+        if election:
+            world.kill(world.leader())
+            await world.wait(1)
+        for worker in old:
+            worker.vanish()
+            await world.wait(0.2)
+            rented = world.cloud.machines[worker.name]
+            rented.worker = Worker(
+                worker.name,
+                worker.kind,
+                worker.size,
+                world.network,
+                world.rules,
+                world.timing,
+                list(world.members),
+                world.rng,
+            )
+        await world.wait(2)
+        for member in FIVE:
+            if not world.alive(member):
+                world.start(member)
+        world.rules.quiet_at = now()
+        took = await world.finish(names, most=200)
+        assert took < 2 * LEASE + 90
+
+    run(main())
+
+
 def test_all_troubles_together():
     """Copies, machines that hear nothing, a controller alone, ends, an outage: every job is done
     in the end, and known all along."""
