--- a/dappledrum/test_main.py
+++ b/dappledrum/test_main.py
@@ -1,6 +1,11 @@
 """Settings and command line: what is wrong is named, what is unknown is ignored."""
 
 import json
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -76,3 +81,23 @@
         with pytest.raises(SystemExit) as ended:
             main(argv)
         assert ended.value.code == code
+
+
+@pytest.mark.parametrize(("mode", "told"), [("checked-hash", "new"), ("unchecked-hash", "old")])
+def test_a_start_uses_the_bytecode_of_the_build_unless_the_source_is_another(tmp_path, mode, told):
+    """Compiling everything anew was half of what a start costs; the second mode, which is not the
+    build's, shows that it is not done."""
+    own = tmp_path / "dappledrum"
+    own.mkdir()
+    shutil.copy(Path(__file__).parents[1] / "run.py", tmp_path)
+    (own / "__init__.py").touch()
+    (own / "main.py").write_text("def main():\n    print('old')\n")
+    compiling = ["-m", "compileall", "-q", "--invalidation-mode", mode, "dappledrum"]
+    env = {**os.environ, "PYTHONPYCACHEPREFIX": "target/pycache"}
+    subprocess.run([sys.executable, *compiling], cwd=tmp_path, env=env, check=True)
+    (own / "main.py").write_text("def main():\n    print('new')\n")
+    del env["PYTHONPYCACHEPREFIX"]
+    ran = subprocess.run(
+        [sys.executable, "run.py"], cwd=tmp_path, env=env, check=True, capture_output=True
+    )
+    assert ran.stdout.decode().split() == [told]
