Machines are counted by zone every 2 s while all zones are heard, not four times a second

Cause: to see whether a zone has fallen silent the leader went through all machines at each look. Change: it does so every 2 s, for zones that are new, and at each look while any zone is quiet for as long as the shortest silence that counts.

--- a/dappledrum/reach/service.py
+++ b/dappledrum/reach/service.py
@@ -39,6 +39,7 @@
 ASK_TIME = timedelta(milliseconds=900)
 PASS_TIME = timedelta(seconds=3.2)  # the worker gives up after 4 s
 LOOK = timedelta(milliseconds=250)
+COUNT_EVERY = timedelta(seconds=2)
 PROBE_TIME = timedelta(seconds=1)
 PROBE_EVERY = timedelta(seconds=4)  # while all is well
 PROBE_SOON = timedelta(milliseconds=700)  # while the leader hears nothing from a zone
@@ -101,6 +102,7 @@
         self.began = clock.now()
         self.born = int(clock.today().timestamp() * 1000)
         self.silent: dict[str, timedelta] = {}
+        self.counted_at = ZERO  # machines by zone
         self.heard_at: timedelta | None = None  # words of any peer, newly told
         self._news: dict[str, asyncio.Event] = {peer: asyncio.Event() for peer in peers.callers}
 
@@ -364,6 +366,13 @@
         since = max(began, self.pulse.awake_since())
         if now - since <= SILENCE_LEAST:
             return {}
+        # To count all machines four times a second costs more than to hear them. While every zone
+        # is heard of, it only tells of zones that are new.
+        least = min(self.limits.report * 1.25 + SLACK, SILENCE_LEAST)
+        heard = all(now - max(z.heard_at or ZERO, since) <= least for z in self.zones.values())
+        if heard and now - self.counted_at < COUNT_EVERY:
+            return {}
+        self.counted_at = now
         result = {}
         for name, machines in self.reporting().items():
             at = max(self.zone(name).heard_at or ZERO, since)
--- a/dappledrum/standins/test_costs.py
+++ b/dappledrum/standins/test_costs.py
@@ -9,6 +9,7 @@
 from dappledrum.settings import WorkerLimits
 from dappledrum.standins.costs import calls, main
 from dappledrum.standins.time import run
+from dappledrum.standins.world import World
 from dappledrum.timing.clock import Clock
 from dappledrum.workers.bookkeeping import Bookkeeper
 from dappledrum.workers.messages import Report
@@ -92,6 +93,26 @@
     assert run(one(2)) == run(one(300)) < 40
 
 
+def test_machines_are_not_counted_while_all_are_heard():
+    async def main():
+        world = World(seed=1)
+        world.cloud.add(("small", "a", True))
+        await world.until(lambda: world.leader() is not None and world.cloud.workers())
+        await world.wait(10)
+        reach = world.nodes[world.leader()].reach
+        count, counted = reach.reporting, []
+        reach.reporting = lambda: counted.append(1) or count()
+        await world.wait(10)
+        assert 3 <= len(counted) <= 12, "40 times, at each look"
+        counted.clear()
+        for worker in world.cloud.workers():
+            worker.hung = True
+        await world.wait(4)
+        assert len(counted) > 8 and reach.silent, "it looks closely where nothing comes"
+
+    run(main())
+
+
 def test_the_table(capsys):
     assert main(["--machines", "6", "--until", "20", "--end", "12"]) == 0
     rows = capsys.readouterr().out.splitlines()
