--- /dev/null
+++ b/dappledrum/dispatch/test_dispatcher.py
@@ -0,0 +1,58 @@
+"""One plan takes only so long, and what it did not come to is not forgotten."""
+
+from datetime import timedelta
+
+from dappledrum.dispatch.dispatcher import PLAN_MOST
+from dappledrum.scheduling.plan import Planner
+from dappledrum.standins.time import run
+from dappledrum.standins.world import World, job
+
+
+class SlowClock:
+    """Time that passes with each look at it."""
+
+    def __init__(self, clock, step):
+        self.clock, self.step, self.more = clock, step, timedelta(0)
+
+    def now(self):
+        self.more += self.step
+        return self.clock.now() + self.more
+
+    def today(self):
+        return self.clock.today()
+
+
+def test_what_a_plan_did_not_come_to_comes_first_in_the_next(monkeypatch):
+    """On a controller that is short of processor a plan for a burst went on for seconds, and what
+    came meanwhile waited for it."""
+
+    async def main():
+        world = World(seed=3)
+        world.cloud.most = 0  # nothing starts, so all is left over
+        await world.until(lambda: world.leader() is not None)
+        for number in range(8):
+            assert await world.submit(job(number, beats=9, dueS=300.0 + number)) == 201
+        await world.wait(2)
+        dispatcher = world.nodes[world.leader()].leader.dispatcher
+        came = []
+        rent = Planner._rent
+
+        def note(planner, bag, count):
+            came.append(bag.id)
+            rent(planner, bag, count)
+
+        monkeypatch.setattr(Planner, "_rent", note)
+        dispatcher.keeper.needed = {"counted on before"}
+        whole = dispatcher.clock
+        dispatcher.clock = SlowClock(whole, PLAN_MOST / 12)
+        await dispatcher.run()
+        first, came[:] = list(came), []
+        late = set(dispatcher.put_off)
+        assert 0 < len(first) < 8 and late == {f"j-{n:06d}" for n in range(8)} - set(first)
+        assert "counted on before" in dispatcher.keeper.needed and not dispatcher.calm
+        dispatcher.clock = whole
+        await dispatcher.run()
+        assert set(came[: len(late)]) == late and len(came) == 8
+        assert not dispatcher.put_off and "counted on before" not in dispatcher.keeper.needed
+
+    run(main())
--- a/dappledrum/standins/experiment.py
+++ b/dappledrum/standins/experiment.py
@@ -62,6 +62,8 @@
     rented: int
     state_requests_per_s: float
     state_changes_per_s: float
+    first_task_s: float  # the longest that a job waited for it
+    unanswered_s: float  # the longest that questions about one job had no answer, once all is over
     troubles: list[After]
 
 
@@ -138,7 +140,13 @@
     taken = await asyncio.gather(*users)
     starts = world.rules.starts
     accepted = [name for name, status in zip(names, taken, strict=True) if status is not None]
+    world.rules.quiet_at = asyncio.get_running_loop().time()
     await world.finish(accepted, most=600)
+    waits = [
+        (facts.begun_at or 0.0) - (facts.submitted_at or 0.0)
+        for facts in world.rules.jobs.values()
+        if facts.accepted
+    ]
     gaps = sorted(watch.gaps.values())
     return Report(
         day.name,
@@ -155,6 +163,8 @@
         world.cloud.next - machines,
         round(world.state.requests / until, 1),
         round(world.state.writes / until, 1),
+        round(max(waits, default=0.0), 2),
+        round(world.rules.longest_s, 2),
         [one for one, _, _ in watch.after],
     )
 
@@ -190,7 +200,9 @@
             f" {report.jobs} jobs accepted: no leader"
             f" {report.no_leader_s:.1f} s; longest gap of a machine {report.gap_median_s:.1f} s in"
             f" the middle, {report.gap_most_s:.1f} s at most; {report.sessions_ended} sessions"
-            f" ended; {report.tasks_started} starts for {report.tasks_wanted} tasks"
+            f" ended; {report.tasks_started} starts for {report.tasks_wanted} tasks; a job's first"
+            f" task after {report.first_task_s:.1f} s at most, no answer for"
+            f" {report.unanswered_s:.1f} s at most afterwards"
         )
         for one in report.troubles:
             back = "not again" if one.back_s is None else f"after {one.back_s:.1f} s"
