--- a/dappledrum/workers/test_hearing.py
+++ b/dappledrum/workers/test_hearing.py
@@ -168,3 +168,14 @@
 
     counts = [run(life(seed)) for seed in range(120)]
     assert sum(copies for _, copies in counts) > 20, "some were first"
+
+
+def test_when_most_seem_deaf_it_is_the_controller_that_is_not_heard():
+    roster = Roster()
+    for number in range(5):
+        machine = roster.ensure(f"m{number}", None, seconds(0))
+        machine.up_at = seconds(1) if number < 4 else None
+        machine.hearing.deaf = number < 2
+    assert not roster.one_sided()
+    roster.get("m2").hearing.deaf = True
+    assert roster.one_sided()
