--- a/dappledrum/fleet/memory.py
+++ b/dappledrum/fleet/memory.py
@@ -39,9 +39,8 @@
         groups: dict[tuple[Kind, int], list[str]] = {}
         for machine in self.roster:
             age = now - machine.rented_at
-            if machine.up or machine.returning or machine.rumour or age > KEPT:
-                continue
-            if machine.kind is None:
+            settled = machine.up or machine.returning or machine.rumour
+            if settled or machine.kind is None or age > KEPT:
                 continue
             # Whole seconds, and only changes of the machines matter: clocks wander by less.
             at = known.get(machine.name, int((today - age).timestamp()) * 1000)
--- a/dappledrum/leading/leader.py
+++ b/dappledrum/leading/leader.py
@@ -489,9 +489,9 @@
             return None
         now = self.clock.now()
         machine.last_answer = max(machine.last_answer, now)
-        if (machine.session, machine.sequence) == (report.session, report.sequence):
-            machine.hearing.answered(now, self.params.workers.lease)
         fresh = (machine.session, machine.sequence) == (report.session, report.sequence)
+        if fresh:
+            machine.hearing.answered(now, self.params.workers.lease)
         commands = self.bookkeeper.commands(machine, report, fresh and self.leading())
         return Commands(self.term.epoch, commands)
 
--- a/dappledrum/scheduling/plan.py
+++ b/dappledrum/scheduling/plan.py
@@ -489,7 +489,8 @@
         return trial
 
     def _scored(self, bag: Bag, rows: Sequence[Row], fetch: "_Fetch") -> "list[_Candidate]":
-        """Machines with what they could be worth at best: a bound, as `Lanes.bound` has it.
+        """Machines with what they could be worth at best: a bound, from a start and a finish that
+        no task of this size can beat there.
 
         Written out, since a plan does this for every machine of a kind and every bag that is left
         over: nine tenths of what a leader of hundreds of machines works at.
--- a/dappledrum/standins/days.py
+++ b/dappledrum/standins/days.py
@@ -141,8 +141,7 @@
     up = world.cloud.workers()
     count = round(fault.share * len(up)) if fault.share else fault.count
     chosen = world.rng.sample(up, min(count, len(up)))
-    pairs = {(member, worker.name) for worker in chosen for member in world.members}
-    world.network.blocked |= pairs
+    pairs = world.deafen([worker.name for worker in chosen])
     _later(fault.for_s, lambda: world.network.blocked.difference_update(pairs))
 
 
--- a/dappledrum/standins/world.py
+++ b/dappledrum/standins/world.py
@@ -324,9 +324,12 @@
         others = [other for other in self.members if other != member]
         self.cut_off(member, "state", *others, *("back-" + other for other in others))
 
-    def deafen(self, names: list[str]) -> None:
-        """Reports of these machines arrive, answers and commands don't reach them."""
-        self.network.blocked |= {(member, name) for name in names for member in self.members}
+    def deafen(self, names: list[str]) -> set[tuple[str, str]]:
+        """Reports of these machines arrive, answers and commands don't reach them; returns what is
+        blocked for it."""
+        pairs = {(member, name) for name in names for member in self.members}
+        self.network.blocked |= pairs
+        return pairs
 
     # time
 
--- a/dappledrum/workers/test_hearing.py
+++ b/dappledrum/workers/test_hearing.py
@@ -48,6 +48,23 @@
     assert hearing.heard() and not hearing.deaf and not hearing.in_vain()
 
 
+def desk(roster, clock):
+    """A leader that has taken over now, with token 5, and knows nothing."""
+    began = clock.now()
+    limits = WorkerLimits(1.0, 10.0, 30.0)
+    return Bookkeeper(
+        {},
+        roster,
+        Estimates(),
+        limits,
+        clock,
+        5,
+        lambda page: None,
+        lambda why: None,
+        clear_at=lambda: began,
+    )
+
+
 class Plain:
     """A worker, and a leader that took over at 0 from one whose token was 4; every report that was
     ever sent may come again."""
@@ -81,17 +98,7 @@
         clock = Clock()
         began = clock.now()
         roster = Roster()
-        books = Bookkeeper(
-            {},
-            roster,
-            Estimates(),
-            WorkerLimits(1.0, 10.0, 30.0),
-            clock,
-            5,
-            lambda page: None,
-            lambda why: None,
-            clear_at=lambda: began,
-        )
+        books = desk(roster, clock)
         for tick in range(40):
             report = Report("m", "10.1.0.1:1", "small", "a", True, 1, tick, 4)
             if books.take(report) is not None:
@@ -116,17 +123,7 @@
         rng = random.Random(seed)
         clock = Clock()
         began = clock.now()
-        books = Bookkeeper(
-            {},
-            Roster(),
-            Estimates(),
-            WorkerLimits(1.0, 10.0, 30.0),
-            clock,
-            5,
-            lambda page: None,
-            lambda why: None,
-            clear_at=lambda: began,
-        )
+        books = desk(Roster(), clock)
         worker = Plain(rng)
         for _ in range(rng.randint(0, 20)):  # under the predecessor
             worker.step(-rng.uniform(0, 30))
