--- a/dappledrum/controller/node.py
+++ b/dappledrum/controller/node.py
@@ -93,8 +93,10 @@
         self.elector.on_change = self._leadership_changed
         self.value_limit = ValueLimit(limits)
         self.intake = Intake(self.state, self.params, clock, self.value_limit)
-        self.elector.confirmed = lambda span: self.intake.confirmed.within(span, clock.now())
-        self.elector.on_confirmed = self._apply_confirmed
+        self.elector.keeper.confirmed = lambda span: self.intake.confirmed.within(
+            span, clock.now()
+        )
+        self.elector.keeper.on_confirmed = self._apply_confirmed
         self.pause_detector = PauseDetector(clock)
         self.leader: Leader | None = None
         self.reach = Reach(
@@ -115,7 +117,7 @@
         )
         if tuning.reach:
             self.elector.candidacy_delay = self.reach.candidacy_delay
-            self.elector.all_ask = lambda: (
+            self.elector.keeper.all_ask = lambda: (
                 len(self.reach.heartbeat_peers) == len(self.peers.callers)
             )
         isolation = Isolation(self.state, self.reach, clock, self.pause_detector)
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -13,13 +13,11 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
 
 import msgspec
 
-from dappledrum.jobs.confirmed_cancellations import CancellationWindow
 from dappledrum.leadership.messages import (
     EpochRecord,
     LeaderRecord,
@@ -30,7 +28,9 @@
     TransferLeadership,
 )
 from dappledrum.leadership.questions import Asker, PreVoteAsker, TransferCall, majority
-from dappledrum.leadership.terms import LEADER, PendingTransfer, Term
+from dappledrum.leadership.term_keeper import TermKeeper
+from dappledrum.leadership.terms import LEADER, Term
+from dappledrum.leadership.transfers import PendingTransfer, TransferLimit
 from dappledrum.leadership.votes import PROMISE, VoteState
 from dappledrum.state.budget import Rank
 from dappledrum.state.client import (
@@ -43,26 +43,16 @@
 )
 from dappledrum.state.hedge import commit_or_find
 from dappledrum.state.messages import Event, Guard, Put
-from dappledrum.timing.clock import ZERO, Clock, longer, shorter
-from dappledrum.timing.fault_log import FaultLog
+from dappledrum.timing.clock import ZERO, Clock, longer
 
 log = logging.getLogger(__name__)
 
 EPOCH = "epoch"
-MARGIN = timedelta(milliseconds=100)
 #: How long a leader waits for its successor to say that it leads, before it ends its own lease.
 TRANSFER_TIME = timedelta(seconds=1.5)
-#: The bound on handing over, whatever the links do: not in the first moments of a term, and this
-#: often in this time at the most.
-MIN_TERM_AGE = timedelta(seconds=10)
-MAX_TRANSFERS = 3
-TRANSFER_WINDOW = timedelta(seconds=60)
-
-# the most that a candidate waits for a majority's answers
+#: How long a candidate waits for the answers of a majority at the most.
 PRE_VOTE_TIME = timedelta(milliseconds=400)
 OTHERS_STOPPED_PAUSE = timedelta(milliseconds=500)
-#: An answer of a peer covers this much more than the time since all was known: what it takes.
-WINDOW_MARGIN = timedelta(seconds=2)
 
 
 class Elector:
@@ -86,31 +76,17 @@
         self.clock = clock
         self.rng = rng
         self.life = life
-        self.ask_peers = ask_peers
         self.ask_pre_vote = ask_pre_vote
         self.send_transfer = send_transfer
-        #: How long a leader goes on, from its newest renewal, when a majority promises but not
-        #: all: somebody may be served meanwhile, and tell a user that a job is cancelled.
         self.max_alone = max_alone
-        #: How long after it has known of all cancellations a leader may answer workers.
-        self.max_known = max_known
-        #: What this process has told users itself; who hears what all have told, and took it on.
-        self.confirmed: Callable[[timedelta], CancellationWindow] = lambda span: (
-            CancellationWindow(frozenset(), ZERO)
-        )
-        self.on_confirmed: Callable[[frozenset[str]], bool] = lambda cancelled: False
-        #: Whether all peers are known to ask before they stand; else all have to promise.
-        self.all_ask: Callable[[], bool] = lambda: False
+        self.keeper = TermKeeper(member, state, clock, rng, life, ask_peers, max_alone, max_known)
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self.on_change: Callable[[], None] = lambda: None
         self.votes = VoteState(clock.now())
         self.avoid_until = ZERO
-        self.incomplete_confirmations = FaultLog(
-            log, clock, "not every controller tells what users were told is cancelled"
-        )
         self.epoch = 0  # the highest that was heard of
-        self.transfers: list[timedelta] = []  # when leadership was handed over, as far as known
+        self.transfers = TransferLimit(clock)
         #: How long this controller lets a better one stand first; asked once for each vacancy.
         self.candidacy_delay: Callable[[], timedelta] = lambda: ZERO
         self._delayed = False
@@ -130,16 +106,7 @@
         """The running term, if leases may at least be renewed: by the lease, or by the promises of
         peers."""
         term = self.term
-        if term is None or term.over.is_set():
-            return None
-        until = min(max(term.valid_until, term.promised_until), self._known_until(term))
-        return term if self.clock.now() < until else None
-
-    def _known_until(self, term: Term) -> timedelta:
-        """Until when workers may be answered, for what is known of cancellations. One that has not
-        read them by then answers nobody, and lets another try."""
-        known = term.began if term.known_at is None else term.known_at
-        return known + shorter(self.max_known)
+        return term if term is not None and self.keeper.holds(term) else None
 
     def answering(self) -> Term | None:
         """The running term, if a worker may be answered at this moment, which renews its lease.
@@ -167,21 +134,15 @@
     def resign(self, why: str, avoid: timedelta) -> None:
         """Give leadership up and don't stand again for a while."""
         self.avoid_until = self.clock.now() + avoid
-        self.transfers.append(self.clock.now())
+        self.transfers.note()
         if self.term is not None:
             log.warning("resigning: %s", why)
             self.term.over.set()
 
     def may_transfer(self) -> bool:
         """Whether leadership may be handed over now, by the bound on how often."""
-        term, now = self.term, self.clock.now()
-        self.transfers = [at for at in self.transfers if now - at < TRANSFER_WINDOW]
-        return (
-            term is not None
-            and not term.over.is_set()
-            and now - term.began >= MIN_TERM_AGE
-            and len(self.transfers) < MAX_TRANSFERS
-        )
+        term = self.term
+        return term is not None and not term.over.is_set() and self.transfers.allow(term.began)
 
     def transfer_leadership(self, member: str, why: str) -> None:
         """Stop acting for good, then name a successor, which need not wait for the lease.
@@ -357,7 +318,7 @@
         term = Term(epoch + 1, version, lease, self.clock.now())
         term.others_stopped_at = clear
         try:
-            await self._renew(term)
+            await self.keeper.renew(term)
         except StateError:
             await self._drop(lease)
             raise
@@ -370,13 +331,11 @@
         self._learn(LeaderRecord(self.member, term.epoch))
         self.on_change()
         if transfer is not None:
-            self.transfers = [
-                self.clock.now() - timedelta(milliseconds=m) for m in transfer.request.moves_ms
-            ]
+            self.transfers.take_over(transfer.request.moves_ms)
             transfer.resolve(True)
         clearing = asyncio.ensure_future(self._learn_others_stopped(term))
         try:
-            await self._keep(term)
+            await self.keeper.keep(term)
         finally:
             clearing.cancel()
             term.over.set()
@@ -386,10 +345,9 @@
             self.on_change()
             log.warning("no longer leading with epoch %d", term.epoch)
         if term.successor is not None:
-            now = self.clock.now()
-            transfers = [int((now - at).total_seconds() * 1e3) for at in self.transfers]
             clear = term.others_stopped_at is not None
-            request = TransferLeadership(self.member, term.epoch, version, [*transfers, 0], clear)
+            transfers = [*self.transfers.ages_ms(), 0]
+            request = TransferLeadership(self.member, term.epoch, version, transfers, clear)
             leads = await self.send_transfer(term.successor, request, TRANSFER_TIME)
             log.info("%s %s", term.successor, "leads" if leads else "does not lead, standing down")
         await self._drop(lease)
@@ -400,13 +358,6 @@
         entry = await self.state.get(LEADER, Rank.LEASE)
         return entry.version if entry is not None and entry.lease == lease else None
 
-    async def _renew(self, term: Term) -> None:
-        sent = self.clock.now()
-        await self.state.renew_lease(term.lease, self.life / 3)
-        term.valid_until = max(term.valid_until, sent + shorter(self.life) - MARGIN)
-        term.renewed_at = max(term.renewed_at, sent)
-        self.incomplete_confirmations.over()
-
     async def _others_stopped(self, epoch: int) -> timedelta | None:
         """The moment from which no former leader can go on for promises, by the word of a
         majority; None when that many could not tell, or did not say so.
@@ -433,104 +384,12 @@
             if term.others_stopped_at is not None:
                 log.info("no former leader answers any more, by the word of a majority")
 
-    async def _keep(self, term: Term) -> None:
-        """Renew until the lease is lost.
-
-        While the state service is away, ask all peers to keep still.
-        """
-        while not term.over.is_set():
-            try:
-                if not await self._unless_over(term, self._renew(term)):
-                    return
-                pause = self.life / 4
-            except LeaseLostError:
-                return
-            except StateError as error:
-                log.debug("renewal failed: %s", error)
-                await self._ask(term)
-                pause = self.life / 12
-            if self.holding() is None:
-                self._log_why(term)
-                return
-            with_jitter = pause * self.rng.uniform(0.9, 1.1)
-            try:
-                async with asyncio.timeout(with_jitter.total_seconds()):
-                    await term.over.wait()
-            except TimeoutError:
-                pass
-
-    def _log_why(self, term: Term) -> None:
-        now = self.clock.now()
-        if now >= self._known_until(term):
-            log.warning(
-                "answering no worker any more: not known what users were told is cancelled in the"
-                " last %.0f s",
-                (now - (term.known_at or term.began)).total_seconds(),
-            )
-
-    @staticmethod
-    async def _unless_over(term: Term, doing: Coroutine[Any, Any, None]) -> bool:
-        """Finish this, unless the term ends first: a renewal that hangs once kept a leader that
-        was handing over waiting until its lease was over all the same."""
-        task = asyncio.ensure_future(doing)
-        over = asyncio.ensure_future(term.over.wait())
-        try:
-            await asyncio.wait((task, over), return_when=asyncio.FIRST_COMPLETED)
-            if over.done():
-                return False
-            await task
-            return True
-        finally:
-            over.cancel()
-            task.cancel()
-
-    async def _ask(self, term: Term) -> None:
-        sent = self.clock.now()
-        back = ZERO if term.known_at is None else sent - term.known_at + WINDOW_MARGIN
-        request = PromiseRequest(
-            self.member,
-            term.epoch,
-            int(PROMISE.total_seconds() * 1000),
-            int(back.total_seconds() * 1000),
-        )
-        answers = await self.ask_peers(request, self.life / 4)
-        # Still entitled when asking and when told: a lapsed term is never taken up again on a
-        # promise.
-        if self.holding() is None:
-            return
-        if self._apply_confirmed(term, sent, answers.confirmed):
-            self.incomplete_confirmations.over()
-        elif majority(answers.yes, answers.asked):
-            self.incomplete_confirmations.seen(
-                f"complete for {answers.confirmed.span.total_seconds():.0f} s"
-            )
-        until = sent + shorter(PROMISE) - MARGIN
-        if answers.yes == answers.asked:
-            term.promised_until = until
-        elif majority(answers.strong, answers.asked) and self.all_ask():
-            until = min(until, term.renewed_at + shorter(self.max_alone))
-            term.promised_until = max(term.promised_until, until)
-
-    def _apply_confirmed(self, term: Term, asked: timedelta, by_peers: CancellationWindow) -> bool:
-        """Take on what all controllers have told users, if that is complete since all was known
-        the last time. Only then: one that is silent, began since, or is of an older version may
-        have told anything."""
-        now = self.clock.now()
-        if term.known_at is None:
-            return False
-        own = self.confirmed(now - term.known_at + WINDOW_MARGIN)
-        whole = own.covers(term.known_at, now) and by_peers.covers(term.known_at, now)
-        if not (whole and self.on_confirmed(own.cancelled | by_peers.cancelled)):
-            return False
-        term.knows(asked)
-        return True
-
     def promise(self, request: PromiseRequest) -> PromiseReply:
         """Answer a leader that can't reach the state service, and which this controller can't
         reach either."""
         leads, now = self.term is not None, self.clock.now()
         reply = self.votes.promise(request, now, leads, self.epoch)
-        confirmed = self.confirmed(timedelta(milliseconds=request.told_ms))
+        confirmed = self.keeper.confirmed(timedelta(milliseconds=request.told_ms))
         reply.cancelled = sorted(confirmed.cancelled)
         reply.told_ms = int(confirmed.span.total_seconds() * 1000)
         return reply
--- /dev/null
+++ b/dappledrum/leadership/term_keeper.py
@@ -0,0 +1,179 @@
+"""Keeping a term: by renewing its lease, and by promises of peers while the state service is away.
+
+However a term is held, it answers workers only up to a bound from the last moment at which the
+leader knew of every cancellation that any controller had confirmed to a user (`Term.known_at`): an
+answer renews a worker's lease, and what runs there must be gone in time.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any
+
+from dappledrum.jobs.confirmed_cancellations import CancellationWindow
+from dappledrum.leadership.messages import PromiseRequest
+from dappledrum.leadership.questions import Asker, majority
+from dappledrum.leadership.terms import Term
+from dappledrum.leadership.votes import PROMISE
+from dappledrum.state.client import LeaseLostError, State, StateError
+from dappledrum.timing.clock import ZERO, Clock, shorter
+from dappledrum.timing.fault_log import FaultLog
+
+log = logging.getLogger(__name__)
+
+#: A leader stops this long before its lease, or a promise, can end.
+MARGIN = timedelta(milliseconds=100)
+#: An answer of a peer covers this much more than the time since all was known: what it takes.
+WINDOW_MARGIN = timedelta(seconds=2)
+
+
+class TermKeeper:
+    """Renews the lease of a term, asks peers for promises, and tells how long the term lasts."""
+
+    def __init__(
+        self,
+        member: str,
+        state: State,
+        clock: Clock,
+        rng: random.Random,
+        life: timedelta,
+        ask_peers: Asker,
+        max_alone: timedelta,
+        max_known: timedelta,
+    ) -> None:
+        self.member = member
+        self.state = state
+        self.clock = clock
+        self.rng = rng
+        self.life = life
+        self.ask_peers = ask_peers
+        #: How long a leader goes on, from its newest renewal, when a majority promises but not
+        #: all: somebody may be served meanwhile, and tell a user that a job is cancelled.
+        self.max_alone = max_alone
+        #: How long after it has known of all cancellations a leader may answer workers.
+        self.max_known = max_known
+        #: The cancellations that this process has confirmed to users itself, in a span until now.
+        self.confirmed: Callable[[timedelta], CancellationWindow] = lambda span: (
+            CancellationWindow(frozenset(), ZERO)
+        )
+        #: Takes on what all controllers have confirmed; whether it could.
+        self.on_confirmed: Callable[[frozenset[str]], bool] = lambda cancelled: False
+        #: Whether all peers are known to ask before they stand; else all have to promise.
+        self.all_ask: Callable[[], bool] = lambda: False
+        self.incomplete_confirmations = FaultLog(
+            log, clock, "not every controller tells what users were told is cancelled"
+        )
+
+    def holds(self, term: Term) -> bool:
+        """Whether workers' leases may at least be renewed under this term at this moment."""
+        if term.over.is_set():
+            return False
+        until = min(max(term.valid_until, term.promised_until), self.known_until(term))
+        return self.clock.now() < until
+
+    def known_until(self, term: Term) -> timedelta:
+        """Until when workers may be answered, for what is known of cancellations. One that has not
+        read them by then answers nobody, and lets another try."""
+        known = term.began if term.known_at is None else term.known_at
+        return known + shorter(self.max_known)
+
+    async def renew(self, term: Term) -> None:
+        sent = self.clock.now()
+        await self.state.renew_lease(term.lease, self.life / 3)
+        term.valid_until = max(term.valid_until, sent + shorter(self.life) - MARGIN)
+        term.renewed_at = max(term.renewed_at, sent)
+        self.incomplete_confirmations.over()
+
+    async def keep(self, term: Term) -> None:
+        """Renew until the lease is lost.
+
+        While the state service is away, ask all peers to keep still.
+        """
+        while not term.over.is_set():
+            try:
+                if not await self._unless_over(term, self.renew(term)):
+                    return
+                pause = self.life / 4
+            except LeaseLostError:
+                return
+            except StateError as error:
+                log.debug("renewal failed: %s", error)
+                await self.ask_promises(term)
+                pause = self.life / 12
+            if not self.holds(term):
+                self._log_why(term)
+                return
+            with_jitter = pause * self.rng.uniform(0.9, 1.1)
+            try:
+                async with asyncio.timeout(with_jitter.total_seconds()):
+                    await term.over.wait()
+            except TimeoutError:
+                pass
+
+    def _log_why(self, term: Term) -> None:
+        now = self.clock.now()
+        if now >= self.known_until(term):
+            log.warning(
+                "answering no worker any more: not known what users were told is cancelled in the"
+                " last %.0f s",
+                (now - (term.known_at or term.began)).total_seconds(),
+            )
+
+    @staticmethod
+    async def _unless_over(term: Term, doing: Coroutine[Any, Any, None]) -> bool:
+        """Finish this, unless the term ends first: a renewal that hangs once kept a leader that
+        was handing over waiting until its lease was over all the same."""
+        task = asyncio.ensure_future(doing)
+        over = asyncio.ensure_future(term.over.wait())
+        try:
+            await asyncio.wait((task, over), return_when=asyncio.FIRST_COMPLETED)
+            if over.done():
+                return False
+            await task
+            return True
+        finally:
+            over.cancel()
+            task.cancel()
+
+    async def ask_promises(self, term: Term) -> None:
+        sent = self.clock.now()
+        back = ZERO if term.known_at is None else sent - term.known_at + WINDOW_MARGIN
+        request = PromiseRequest(
+            self.member,
+            term.epoch,
+            int(PROMISE.total_seconds() * 1000),
+            int(back.total_seconds() * 1000),
+        )
+        answers = await self.ask_peers(request, self.life / 4)
+        # Still entitled when asking and when told: a lapsed term is never taken up again on a
+        # promise.
+        if not self.holds(term):
+            return
+        if self._apply_confirmed(term, sent, answers.confirmed):
+            self.incomplete_confirmations.over()
+        elif majority(answers.yes, answers.asked):
+            self.incomplete_confirmations.seen(
+                f"complete for {answers.confirmed.span.total_seconds():.0f} s"
+            )
+        until = sent + shorter(PROMISE) - MARGIN
+        if answers.yes == answers.asked:
+            term.promised_until = until
+        elif majority(answers.strong, answers.asked) and self.all_ask():
+            until = min(until, term.renewed_at + shorter(self.max_alone))
+            term.promised_until = max(term.promised_until, until)
+
+    def _apply_confirmed(self, term: Term, asked: timedelta, by_peers: CancellationWindow) -> bool:
+        """Take on what all controllers have told users, if that is complete since all was known
+        the last time. Only then: one that is silent, began since, or is of an older version may
+        have told anything."""
+        now = self.clock.now()
+        if term.known_at is None:
+            return False
+        own = self.confirmed(now - term.known_at + WINDOW_MARGIN)
+        whole = own.covers(term.known_at, now) and by_peers.covers(term.known_at, now)
+        if not (whole and self.on_confirmed(own.cancelled | by_peers.cancelled)):
+            return False
+        term.knows(asked)
+        return True
--- a/dappledrum/leadership/terms.py
+++ b/dappledrum/leadership/terms.py
@@ -1,9 +1,8 @@
-"""Terms of leadership, and the transfer of leadership to a named successor."""
+"""Terms of leadership."""
 
 import asyncio
 from datetime import timedelta
 
-from dappledrum.leadership.messages import TransferLeadership
 from dappledrum.state.messages import Guard
 from dappledrum.timing.clock import ZERO
 
@@ -42,16 +41,3 @@
     def guard(self) -> Guard:
         """The condition for each write of this leader."""
         return Guard(LEADER, self.version)
-
-
-class PendingTransfer:
-    """A transfer from a leader that has stopped, until its outcome is known."""
-
-    def __init__(self, request: TransferLeadership) -> None:
-        self.request = request
-        self.leads: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-
-    def resolve(self, leads: bool) -> None:
-        """Tell the former leader whether this controller leads now."""
-        if not self.leads.done():
-            self.leads.set_result(leads)
--- a/dappledrum/leadership/test_confirmed_cancellations.py
+++ b/dappledrum/leadership/test_confirmed_cancellations.py
@@ -14,9 +14,10 @@
     ConfirmedCancellations,
     merge_windows,
 )
-from dappledrum.leadership.elector import WINDOW_MARGIN, Elector
+from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.messages import PromiseReply, PromiseRequest
 from dappledrum.leadership.questions import ALWAYS, Answers
+from dappledrum.leadership.term_keeper import WINDOW_MARGIN
 from dappledrum.leadership.terms import Term
 from dappledrum.peers.client import Peers
 from dappledrum.peers.messages import encode
@@ -52,8 +53,8 @@
             s(20),
             s(20),
         )
-        self.elector.confirmed = lambda span: self.own.within(span, self.clock.now())
-        self.elector.on_confirmed = lambda names: bool(self.heard.append(names)) or True
+        self.elector.keeper.confirmed = lambda span: self.own.within(span, self.clock.now())
+        self.elector.keeper.on_confirmed = lambda names: bool(self.heard.append(names)) or True
         self.term = self.elector.term = Term(1, 1, 1, s(90))
         self.term.valid_until = s(101)
         self.term.known_at = None if known is None else s(known)
@@ -69,7 +70,7 @@
 
     async def asked(self):
         await asyncio.sleep(100 - self.clock.now().total_seconds())
-        await self.elector._ask(self.term)
+        await self.elector.keeper.ask_promises(self.term)
         return self.term.known_at
 
 
@@ -122,7 +123,7 @@
         assert await election.asked() == s(100) and election.heard == [frozenset({"j-9"})]
         young = ElectionModel([peer()])
         young.own = ConfirmedCancellations(s(98))
-        await young.elector._ask(young.term)
+        await young.elector.keeper.ask_promises(young.term)
         assert young.term.known_at == s(95) and young.heard == []
 
     run(main())
