--- a/dappledrum/http/test_http.py
+++ b/dappledrum/http/test_http.py
@@ -50,6 +50,7 @@
     asyncio.run(serving(check))
 
 
+@pytest.mark.logs_failure("GET /bad failed")
 def test_a_failing_handler_and_a_closed_connection_disturb_nobody():
     async def check(server, port):
         client = Client("127.0.0.1", port)
