--- a/dappledrum/leading/worker_answers.py
+++ b/dappledrum/leading/worker_answers.py
@@ -11,6 +11,7 @@
 from dappledrum.settings import WorkerLimits
 from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.workers.bookkeeping import Bookkeeper
+from dappledrum.workers.commands import pending
 from dappledrum.workers.messages import Command, Commands, Report
 from dappledrum.workers.roster import Machine, Roster
 
@@ -89,9 +90,9 @@
             machine.reachability.answered(now, self.limits.lease)
         commands: list[Command] = []
         if fresh and self.leading():
-            commands = self.bookkeeper.commands(machine, report)
+            commands = self.bookkeeper.commands.of_records(machine, report)
         elif fresh:
-            commands = self.bookkeeper.stops(machine, report)
+            commands = self.bookkeeper.commands.of_cancellations(machine, report)
         return Commands(self.term.epoch, commands)
 
     async def _wait_for_work(self, machine: Machine, most: timedelta) -> None:
@@ -103,7 +104,7 @@
         """
         if not machine.up:
             return  # the next report shows whether it gets our answers; until then it gets nothing
-        if not self.bookkeeper.pending(machine):
+        if not pending(machine):
             time_limit = ZERO
             if self.woken.is_set():
                 time_limit = PLAN_TIME
@@ -114,7 +115,7 @@
             if time_limit <= ZERO or not await self._happens(machine.given.wait(), time_limit):
                 return
         until = self.clock.now() + HOLD
-        while self.leading() and self.bookkeeper.pending(machine):
+        while self.leading() and pending(machine):
             left = until - self.clock.now()
             if left <= ZERO or not await self._happens(self._saved(), left):
                 return
--- a/dappledrum/recovery/test_reconciliation.py
+++ b/dappledrum/recovery/test_reconciliation.py
@@ -121,7 +121,9 @@
         report = Report("m", "10.1.0.1:1", "small", "a", True, case.session, 7, token, None, tasks)
         machine = books.take(report)
         assert machine is not None
-        instruction = ", ".join(command.op for command in books.commands(machine, report))
+        instruction = ", ".join(
+            command.op for command in books.commands.of_records(machine, report)
+        )
         return Outcome(0 in page.places, page.is_done(0), instruction or None)
 
     return run(main())
--- a/dappledrum/standins/test_costs.py
+++ b/dappledrum/standins/test_costs.py
@@ -84,7 +84,7 @@
         def comes(name, tick):
             report = Report(name, "10.1.0.1:1", "small", "a", True, 1, tick, 5)
             machine = books.take(report)
-            return books.commands(machine, report)
+            return books.commands.of_records(machine, report)
 
         for index in range(machines):
             comes(f"m{index}", 1)
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -1,7 +1,6 @@
-"""What a report means for the records, and what the worker is told.
+"""What a report means for the records.
 
-The rules rest on two things here. A start is sent only when the record that names the attempt is
-stored. And an attempt counts as on its machine until it is proven gone, by one of:
+An attempt counts as on its machine until it is proven gone, by one of:
 
 - a report that shows it ended;
 - a report without it that carries our own token (one held back under a predecessor proves
@@ -28,13 +27,13 @@
 from dappledrum.scheduling.timeline import Kind
 from dappledrum.settings import WorkerLimits
 from dappledrum.timing.clock import ZERO, Clock, longer
+from dappledrum.workers.commands import WorkerCommands, wanted
 from dappledrum.workers.failures import Verdict, failed, judge, suspected
-from dappledrum.workers.messages import Cause, Command, Report, TaskReport, TaskState
+from dappledrum.workers.messages import Cause, Report, TaskReport, TaskState
 from dappledrum.workers.roster import GONE_MARGIN, Machine, Roster
 
 log = logging.getLogger(__name__)
 
-MAX_COMMANDS = 400
 RETRY = timedelta(seconds=2)
 DOUBT = timedelta(seconds=5)  # a machine is left out while its failures are tried elsewhere
 MAX_RETRY_PAUSE = timedelta(seconds=60)
@@ -69,6 +68,7 @@
         self.token = token
         self.mark = mark
         self.wake = wake
+        self.commands = WorkerCommands(jobs, clock)
         self.cache_gb: dict[str, float] = {}
         self.on_lost: Callable[[str], None] = lambda why: None  # told of each placement given up
         # nobody else has answered since; None: not told
@@ -184,13 +184,13 @@
         """Bring the placements in step with what the report shows."""
         shown: set[tuple[str, int, int]] = set()
         for item in report.tasks:
-            name, _, number = item.task.rpartition("/")
-            if not number.isascii() or not number.isdigit() or len(number) > 7:
+            name, number = item.job_and_number()
+            if number is None:
                 continue
-            shown.add((name, int(number), item.attempt))
+            shown.add((name, number, item.attempt))
             job = self.jobs.get(name)
-            if job is not None and int(number) < job.spec.tasks:
-                self._item(machine, job, int(number), item, now)
+            if job is not None and number < job.spec.tasks:
+                self._item(machine, job, number, item, now)
         missed = False
         for placement in list(machine.placements.values()):
             job_id = placement.page.job.id
@@ -211,7 +211,7 @@
             elif (
                 report.token == self.token
                 and report.sequence > placement.offered_tick
-                and (placement.seen or placement.lost or not self._wanted(placement))
+                and (placement.seen or placement.lost or not wanted(placement))
             ):
                 self._lost(machine, placement, "no longer there", Entry.LOST_STOPPED)
         if missed:
@@ -345,89 +345,6 @@
         self.on_lost(why)
         self.wake("task lost")
 
-    # answers
-
-    @staticmethod
-    def _wanted(placement: Placement) -> bool:
-        job = placement.page.job
-        return not (
-            job.over or job.cancelled or placement.lost or placement.page.is_done(placement.task)
-        )
-
-    def pending(self, machine: Machine) -> bool:
-        """Whether something is about to be stored that the answer could carry."""
-        return any(
-            not p.seen
-            and p.offered_tick < 0
-            and p.page.saved < p.revision
-            and p.session == machine.session
-            for p in machine.placements.values()
-        )
-
-    def stops(self, machine: Machine, report: Report) -> list[Command]:
-        """All that a leader commands that only holds on to its term: tasks of cancelled jobs are
-        stopped. Whoever leads next would do the same, as a cancellation is final; what an end
-        means for the records is left until they can be written."""
-        result: list[Command] = []
-        for item in report.tasks:
-            job = self.jobs.get(item.task.rpartition("/")[0])
-            if job is None or not job.cancelled or item.state == TaskState.ENDED:
-                continue
-            command = self._for_item(machine, item)
-            if command is not None and len(result) < MAX_COMMANDS:
-                result.append(command)
-        return result
-
-    def commands(self, machine: Machine, report: Report) -> list[Command]:
-        """Commands that follow from the records, for a leader whose lease is valid."""
-        result: list[Command] = []
-        active: set[tuple[str, int]] = set()
-        for item in report.tasks:
-            command = self._for_item(machine, item) if len(result) < MAX_COMMANDS else None
-            if command is not None:
-                result.append(command)
-            active.add((item.task, item.attempt))
-        for placement in machine.placements.values():
-            task = f"{placement.page.job.id}/{placement.task}"
-            if (task, placement.attempt) in active or placement.session != report.session:
-                continue
-            if len(result) >= MAX_COMMANDS:
-                break  # no line of an answer may be longer than 64 KiB; the rest comes next time
-            # Write ahead: the worker hears of an attempt only when its record is stored.
-            if self._wanted(placement) and placement.page.saved >= placement.revision:
-                placement.offered_tick = max(placement.offered_tick, report.sequence)
-                result.append(Command("start", task, placement.attempt))
-        return result
-
-    def _for_item(self, machine: Machine, item: TaskReport) -> Command | None:
-        """Stop what is not wanted, forget ends that are stored."""
-        name, _, number = item.task.rpartition("/")
-        job = self.jobs.get(name)
-        task = int(number) if number.isascii() and number.isdigit() and len(number) <= 7 else -1
-        known = job is not None and 0 <= task < job.spec.tasks
-        placement = machine.placements.get((name, task))
-        if placement is not None and placement.attempt != item.attempt:
-            placement = None
-        if item.state == TaskState.ENDED:
-            if placement is not None or (known and job is not None and job.page_of(task).dirty):
-                return None  # the end is not stored yet
-            return Command("forget", item.task, item.attempt)
-        if placement is not None and self._wanted(placement):
-            return None
-        grace = 0.0
-        if placement is not None and job is not None and not job.cancelled:
-            if item.state == TaskState.SAVING:
-                return None
-            grace = job.spec.save_s * 1.5 + 1 if job.spec.checkpoint_s > 0 else 0.0
-            left = (
-                None
-                if machine.recall_at is None
-                else (machine.recall_at - self.clock.now()).total_seconds()
-            )
-            if left is not None and left > 0:
-                grace = min(grace, left)
-        return Command("stop", item.task, item.attempt, grace)
-
     # time
 
     def sweep(self) -> None:
--- /dev/null
+++ b/dappledrum/workers/commands.py
@@ -0,0 +1,113 @@
+"""What a worker is told in the answer to a report.
+
+A start is sent only when the record that names the attempt is stored, and an end is forgotten only
+when it is stored.
+"""
+
+from dappledrum.jobs.record import Job, Placement
+from dappledrum.timing.clock import Clock
+from dappledrum.workers.messages import Command, Report, TaskReport, TaskState
+from dappledrum.workers.roster import Machine
+
+#: No line of an answer may be longer than 64 KiB.
+MAX_COMMANDS = 400
+#: Saving may take this much longer than the owner has said.
+SAVE_MARGIN = 1.5
+
+
+def wanted(placement: Placement) -> bool:
+    """Whether an attempt should go on, or begin."""
+    job = placement.page.job
+    return not (
+        job.over or job.cancelled or placement.lost or placement.page.is_done(placement.task)
+    )
+
+
+def pending(machine: Machine) -> bool:
+    """Whether something is about to be stored that an answer to this machine could carry."""
+    return any(
+        not placement.seen
+        and placement.offered_tick < 0
+        and placement.page.saved < placement.revision
+        and placement.session == machine.session
+        for placement in machine.placements.values()
+    )
+
+
+class WorkerCommands:
+    """Works out commands from the records and a report."""
+
+    def __init__(self, jobs: dict[str, Job], clock: Clock) -> None:
+        self.jobs = jobs
+        self.clock = clock
+
+    def of_cancellations(self, machine: Machine, report: Report) -> list[Command]:
+        """All that a leader commands that only holds on to its term: tasks of cancelled jobs are
+        stopped. Whoever leads next would do the same, as a cancellation is final; what an end
+        means for the records is left until they can be written."""
+        result: list[Command] = []
+        for item in report.tasks:
+            job = self.jobs.get(item.task.rpartition("/")[0])
+            if job is None or not job.cancelled or item.state == TaskState.ENDED:
+                continue
+            command = self._for_item(machine, item)
+            if command is not None and len(result) < MAX_COMMANDS:
+                result.append(command)
+        return result
+
+    def of_records(self, machine: Machine, report: Report) -> list[Command]:
+        """Commands that follow from the records, for a leader whose lease is valid."""
+        result: list[Command] = []
+        active: set[tuple[str, int]] = set()
+        for item in report.tasks:
+            command = self._for_item(machine, item) if len(result) < MAX_COMMANDS else None
+            if command is not None:
+                result.append(command)
+            active.add((item.task, item.attempt))
+        for placement in machine.placements.values():
+            task = f"{placement.page.job.id}/{placement.task}"
+            if (task, placement.attempt) in active or placement.session != report.session:
+                continue
+            if len(result) >= MAX_COMMANDS:
+                break  # no line of an answer may be longer than 64 KiB; the rest comes next time
+            # Write ahead: the worker hears of an attempt only when its record is stored.
+            if wanted(placement) and placement.page.saved >= placement.revision:
+                placement.offered_tick = max(placement.offered_tick, report.sequence)
+                result.append(Command("start", task, placement.attempt))
+        return result
+
+    def _for_item(self, machine: Machine, item: TaskReport) -> Command | None:
+        """Stop what is not wanted, forget ends that are stored."""
+        name, number = item.job_and_number()
+        job = self.jobs.get(name)
+        placement = None if number is None else machine.placements.get((name, number))
+        if placement is not None and placement.attempt != item.attempt:
+            placement = None
+        if item.state == TaskState.ENDED:
+            if placement is not None or self._unsaved(job, number):
+                return None  # the end is not stored yet
+            return Command("forget", item.task, item.attempt)
+        if placement is not None and wanted(placement):
+            return None
+        if placement is None or job is None or job.cancelled:
+            return Command("stop", item.task, item.attempt, 0.0)
+        if item.state == TaskState.SAVING:
+            return None
+        return Command("stop", item.task, item.attempt, self._grace_s(machine, job))
+
+    @staticmethod
+    def _unsaved(job: Job | None, number: int | None) -> bool:
+        """Whether something about this task, or one near it, is not stored yet."""
+        if job is None or number is None or number >= job.spec.tasks:
+            return False
+        return job.page_of(number).dirty
+
+    def _grace_s(self, machine: Machine, job: Job) -> float:
+        """Seconds that a task gets to save its progress before it is stopped."""
+        if job.spec.checkpoint_s <= 0:
+            return 0.0
+        grace = job.spec.save_s * SAVE_MARGIN + 1
+        if machine.recall_at is None:
+            return grace
+        left = (machine.recall_at - self.clock.now()).total_seconds()
+        return min(grace, left) if left > 0 else grace
--- a/dappledrum/workers/messages.py
+++ b/dappledrum/workers/messages.py
@@ -35,6 +35,10 @@
     ALONE = "alone"  # of a gang: the others did not come in time
 
 
+#: Jobs have 100,000 tasks at the most; a longer number is not worth converting.
+MAX_TASK_DIGITS = 7
+
+
 class TaskReport(
     msgspec.Struct,
     rename={"task": "beat", "attempt": "take", "state": "stance", "saved": "stored"},
@@ -50,6 +54,13 @@
     cause: str | None = None
     saved: bool | None = None
 
+    def job_and_number(self) -> tuple[str, int | None]:
+        """The job's name and the task's number, None if it is none that a job can have."""
+        name, _, number = self.task.rpartition("/")
+        if not (number.isascii() and number.isdigit()) or len(number) > MAX_TASK_DIGITS:
+            return name, None
+        return name, int(number)
+
 
 class Report(
     msgspec.Struct,
--- a/dappledrum/workers/test_bookkeeping.py
+++ b/dappledrum/workers/test_bookkeeping.py
@@ -60,7 +60,7 @@
         if machine is None:
             return None
         machine.last_answer = self.books.clock.now()
-        return [(c.op, c.attempt) for c in self.books.commands(machine, report)]
+        return [(c.op, c.attempt) for c in self.books.commands.of_records(machine, report)]
 
     @property
     def gone(self):
@@ -242,7 +242,7 @@
     page.saved = page.revision
     report = Report("m", "10.1.0.1:1", "small", "a", True, 1, 2, TOKEN)
     desk.books.take(report)
-    first = desk.books.commands(machine, report)
+    first = desk.books.commands.of_records(machine, report)
     assert len(first) == 400 and len(msgspec.json.encode(first)) < 64 * 1024
 
 
