--- a/dappledrum/dispatch/savings.py
+++ b/dappledrum/dispatch/savings.py
@@ -45,12 +45,13 @@
         and tasks whose image it holds finish first there. So ordinary machines that were rented in
         one bad moment stayed for the day, while spot machines fell idle and were returned. An
         ordinary machine therefore gets no new work once the spot machines have as much free
-        capacity, beyond what the plan uses and a reserve; late work does not matter then, since it
-        could start in that capacity. While nothing is late, spot machines are also rented as
-        replacements. Without spare capacity, or with late work, all machines are used.
+        capacity, beyond what the plan uses, what is late, and a reserve. While nothing is late,
+        spot machines are also rented as replacements. Without spare capacity all machines are
+        used.
         """
         retiring = [machine for machine in self.roster if machine.retiring]
         spare = self._spare(timelines) - sum(self._used(machine) for machine in retiring)
+        spare -= sum(bag.size.cpus * plan.late.get(bag.id, 0) for bag in bags)
         bound = any(not job.spec.spot for job in self.jobs.values())
         if bound or (plan.late and spare <= 0):
             for machine in retiring:
@@ -155,8 +156,12 @@
 
     def _spare(self, timelines: list[MachineTimeline]) -> float:
         """CPUs on running spot machines that the plan does not use, counted in units of the
-        largest tasks, less the reserve."""
-        spot = [view for view in timelines if view.kind.spot and not view.booting]
+        largest tasks, less the reserve. Machines that the cloud is about to take do not count."""
+        spot = [
+            view
+            for view in timelines
+            if view.kind.spot and not view.booting and view.until is None
+        ]
         free = 0.0
         for view in spot:
             model = self.fleet_manager.types[view.kind.type]
--- a/dappledrum/scale/__main__.py
+++ b/dappledrum/scale/__main__.py
@@ -87,10 +87,15 @@
 
 
 async def _played(options: Options) -> ScaleReport:
-    """One run; a request to terminate ends it as an interrupt does, with all that it started."""
+    """One run; an interrupt or a request to terminate ends it, with all that it started.
+
+    Shells start commands in the background with interrupts ignored, and Python then installs no
+    handler of its own.
+    """
     task = asyncio.current_task()
     assert task is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     return await play(options, lambda text: print(text, flush=True))
 
 
@@ -101,7 +106,7 @@
     options = checked(cli, given)
     try:
         report = asyncio.run(_played(options))
-    except (KeyboardInterrupt, asyncio.CancelledError):
+    except asyncio.CancelledError:
         return 130
     if given.report is not None:
         given.report.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1))
--- a/dappledrum/scale/test_scale.py
+++ b/dappledrum/scale/test_scale.py
@@ -39,10 +39,18 @@
     assert psutil.Process().children(recursive=True) == []
 
 
-@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
-def test_an_interrupt_ends_all_that_was_started(number):
+@pytest.mark.parametrize(
+    ("number", "in_background"),
+    [(signal.SIGINT, False), (signal.SIGINT, True), (signal.SIGTERM, False)],
+)
+def test_an_interrupt_ends_all_that_was_started(number, in_background):
+    """Also when a shell has started the command in the background, with interrupts ignored."""
     command = [sys.executable, "-m", "dappledrum.scale", "--workers", "5", "--phase-s", "60"]
-    process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
+    before = signal.signal(signal.SIGINT, signal.SIG_IGN if in_background else signal.SIG_DFL)
+    try:
+        process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
+    finally:
+        signal.signal(signal.SIGINT, before)
     try:
         parent = psutil.Process(process.pid)
         deadline = time.monotonic() + 60
