--- a/dappledrum/accounts/ledger.py
+++ b/dappledrum/accounts/ledger.py
@@ -49,6 +49,19 @@
         self.kind = kind
 
 
+#: Of attempts that are on a machine.
+OF_PLACEMENTS = (Entry.RUNNING, Entry.GATHER, Entry.FETCH, Entry.BOOKED)
+
+
+def _entry_of(placement: Placement) -> Entry:
+    """What the time of an attempt on a machine is booked as, until it has ended."""
+    if placement.running_at is not None:
+        return Entry.RUNNING
+    if placement.gathering:
+        return Entry.GATHER
+    return Entry.FETCH if placement.seen else Entry.BOOKED
+
+
 class Ledger:
     """Books what is spent; `step` is called every second or two."""
 
@@ -106,19 +119,19 @@
             return
         free = Size(model.cpus, model.gpus, model.memory_gb)
         left = 1.0
+        shares = dict.fromkeys(OF_PLACEMENTS, 0.0)
         assert machine.kind is not None
         for placement in machine.placements.values():
-            spec = placement.page.job.spec
-            free = free.minus(Size(spec.cpus, spec.gpus, spec.memory_gb))
-            share = min(left, spec.cpus / model.cpus) if model.cpus > 0 else left
+            size = placement.page.job.size
+            free = free.minus(size)
+            share = min(left, size.cpus / model.cpus) if model.cpus > 0 else left
             left -= share
-            if placement.running_at is not None:
+            entry = _entry_of(placement)
+            shares[entry] += share
+            if entry is Entry.RUNNING:
                 placement.spent += money * share
-                self._add(account, Entry.RUNNING, money * share)
-            elif placement.gathering:
-                self._add(account, Entry.GATHER, money * share)
-            else:
-                entry = Entry.FETCH if placement.seen else Entry.BOOKED
+        for entry, share in shares.items():
+            if share > 0:
                 self._add(account, entry, money * share)
         if left > 1e-9:
             reason = why_idle(machine.kind, free, not machine.placements, wants)
--- a/dappledrum/dispatch/machines.py
+++ b/dappledrum/dispatch/machines.py
@@ -43,9 +43,7 @@
         """Compute what all machines of one plan have in common."""
         self.awake_since = self.fleet_manager.awake_since()
         self.mostly_unreachable = self.roster.mostly_unreachable()
-        self.sizes = {
-            Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb) for job in self.jobs.values()
-        }
+        self.sizes = {job.size for job in self.jobs.values()}
         self._moments = {}
 
     def timelines(self, now: timedelta) -> list[MachineTimeline]:
@@ -74,7 +72,7 @@
                 and now + span > placement.running_at + self._mean(job)
             ):
                 return False
-            free = free.minus(Size(job.spec.cpus, job.spec.gpus, job.spec.memory_gb))
+            free = free.minus(job.size)
         return any(free.times(size) for size in self.sizes)
 
     def available(self) -> list[str]:
@@ -121,14 +119,12 @@
         )
         for image in machine.images:
             timeline.images[image] = ready_at
+        tasks: list[tuple[timedelta, Size]] = []
         for placement in machine.placements.values():
-            spec = placement.page.job.spec
-            timeline.reserve(
-                ready_at,
-                max(ready_at, self._finish(placement, timeline, now)),
-                Size(spec.cpus, spec.gpus, spec.memory_gb),
-            )
-            timeline.expect(spec.image, spec.image_gb, now)
+            job = placement.page.job
+            tasks.append((self._finish(placement, timeline, now), job.size))
+            timeline.expect(job.spec.image, job.spec.image_gb, now)
+        timeline.occupy(tasks)
         return timeline
 
     def _finish(
--- a/dappledrum/dispatch/savings.py
+++ b/dappledrum/dispatch/savings.py
@@ -119,8 +119,7 @@
             return False
         free = Size(model.cpus, model.gpus, model.memory_gb)
         for placement in machine.placements.values():
-            spec = placement.page.job.spec
-            free = free.minus(Size(spec.cpus, spec.gpus, spec.memory_gb))
+            free = free.minus(placement.page.job.size)
         return free.times(bag.size) >= 1
 
     def _swap(self, cpus: float, timelines: list[MachineTimeline]) -> dict[Kind, int]:
--- a/dappledrum/dispatch/work.py
+++ b/dappledrum/dispatch/work.py
@@ -235,7 +235,7 @@
         zones = {p.zone for p in job.placements()} if spec.one_zone or spec.spread else set()
         return Bag(
             id=job.id,
-            size=Size(spec.cpus, spec.gpus, spec.memory_gb),
+            size=job.size,
             ready=1 if held and not gang else ready,
             unready=0 if stage is None else stage.tasks - stage.ready,
             ready_siblings=0 if stage is None else max(0, stage.ready - job.waiting()),
--- a/dappledrum/jobs/record.py
+++ b/dappledrum/jobs/record.py
@@ -23,6 +23,7 @@
     SpecPart,
 )
 from dappledrum.jobs.parts import LONG, join_spec, split_rows, split_spec
+from dappledrum.scheduling.timeline import Size
 from dappledrum.state.messages import Delete, Put
 from dappledrum.timing.clock import ZERO
 
@@ -78,6 +79,7 @@
         "stopping",
         "task",
         "machine",
+        "name",
         "zone",
         "page",
         "lost",
@@ -97,6 +99,7 @@
     ) -> None:
         self.page = page
         self.task = task
+        self.name = f"{page.job.id}/{task}"  # as reports and commands say
         self.attempt = attempt
         self.machine = machine
         self.session = session
@@ -302,6 +305,7 @@
         self, record: JobRecord, version: int, spec_parts: Sequence[SpecPart] = ()
     ) -> None:
         self.spec: Spec = join_spec(record.spec, spec_parts)
+        self.size = Size(self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
         self.stored_spec = record.spec
         self.spec_parts = len(spec_parts)
         self.unsaved_parts: list[SpecPart] = []  # to be written with the head
--- a/dappledrum/scheduling/timeline.py
+++ b/dappledrum/scheduling/timeline.py
@@ -7,6 +7,7 @@
 
 import math
 from bisect import bisect_left
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
@@ -220,6 +221,30 @@
             self.committed = finish
             self._billed = None
 
+    def occupy(self, tasks: Iterable[tuple[timedelta, Size]]) -> None:
+        """Reserve resources from the beginning on for tasks that are there already, each until its
+        end; for a timeline on which nothing is reserved yet.
+
+        The same as `reserve` for one after the other, in a single pass from the last end back:
+        that cost a fifth of a leader's processor time with 29 tasks on each of 400 machines.
+        """
+        left = self.free[0]
+        times: list[timedelta] = []
+        free: list[Size] = []
+        for finish, size in sorted(tasks, reverse=True):
+            if finish <= self.ready_at:
+                break
+            if not times or times[-1] != finish:
+                times.append(finish)
+                free.append(left)
+            left = left.minus(size)
+        if times:
+            self.committed = times[0]
+            self._billed = None
+        self.times = [self.ready_at, *reversed(times)]
+        self.free = [left, *reversed(free)]
+        self._first.clear()
+
     def expect(self, image: str, image_gb: float, start: timedelta) -> None:
         """Note that an image will be fetched for a task that starts at this moment."""
         if image not in self.images:
--- a/dappledrum/standins/truth.py
+++ b/dappledrum/standins/truth.py
@@ -56,7 +56,7 @@
         for placement in machine.placements.values():
             if placement.seen or not placement.lost or placement in lost_before:
                 continue
-            task = f"{placement.page.job.id}/{placement.task}"
+            task = placement.name
             if self._is_there(machine.name, task, placement.attempt):
                 self.wrong.append(f"{task} is on {machine.name}, and will be stopped")
 
@@ -85,7 +85,7 @@
     def lost(
         books: Bookkeeper, machine: Machine, placement: Placement, why: str, entry: Entry
     ) -> None:
-        task = f"{placement.page.job.id}/{placement.task}"
+        task = placement.name
         truth.check_gone(machine.name, task, placement.attempt, why)
         lose(books, machine, placement, why, entry)
 
--- a/dappledrum/workers/bookkeeping.py
+++ b/dappledrum/workers/bookkeeping.py
@@ -29,7 +29,7 @@
 from dappledrum.timing.clock import ZERO, Clock, longer
 from dappledrum.workers.commands import WorkerCommands, wanted
 from dappledrum.workers.failures import Verdict, failed, judge, suspected
-from dappledrum.workers.messages import Cause, Report, TaskReport, TaskState
+from dappledrum.workers.messages import Cause, Report, TaskReport, TaskState, job_and_number
 from dappledrum.workers.roster import GONE_MARGIN, Machine, Roster
 
 log = logging.getLogger(__name__)
@@ -184,7 +184,7 @@
         """Bring the placements in step with what the report shows."""
         shown: set[tuple[str, int, int]] = set()
         for item in report.tasks:
-            name, number = item.job_and_number()
+            name, number = job_and_number(item.task)
             if number is None:
                 continue
             shown.add((name, number, item.attempt))
--- a/dappledrum/workers/commands.py
+++ b/dappledrum/workers/commands.py
@@ -6,7 +6,7 @@
 
 from dappledrum.jobs.record import Job, Placement
 from dappledrum.timing.clock import Clock
-from dappledrum.workers.messages import Command, Report, TaskReport, TaskState
+from dappledrum.workers.messages import Command, Report, TaskReport, TaskState, job_and_number
 from dappledrum.workers.roster import Machine
 
 #: No line of an answer may be longer than 64 KiB.
@@ -65,20 +65,20 @@
                 result.append(command)
             active.add((item.task, item.attempt))
         for placement in machine.placements.values():
-            task = f"{placement.page.job.id}/{placement.task}"
-            if (task, placement.attempt) in active or placement.session != report.session:
+            started = (placement.name, placement.attempt) in active
+            if started or placement.session != report.session:
                 continue
             if len(result) >= MAX_COMMANDS:
                 break  # no line of an answer may be longer than 64 KiB; the rest comes next time
             # Write ahead: the worker hears of an attempt only when its record is stored.
             if wanted(placement) and placement.page.saved >= placement.revision:
                 placement.offered_tick = max(placement.offered_tick, report.sequence)
-                result.append(Command("start", task, placement.attempt))
+                result.append(Command("start", placement.name, placement.attempt))
         return result
 
     def _for_item(self, machine: Machine, item: TaskReport) -> Command | None:
         """Stop what is not wanted, forget ends that are stored."""
-        name, number = item.job_and_number()
+        name, number = job_and_number(item.task)
         job = self.jobs.get(name)
         placement = None if number is None else machine.placements.get((name, number))
         if placement is not None and placement.attempt != item.attempt:
--- a/dappledrum/workers/messages.py
+++ b/dappledrum/workers/messages.py
@@ -1,6 +1,7 @@
 """Reports of workers and the answers to them."""
 
 from enum import StrEnum
+from functools import lru_cache
 from typing import Annotated
 
 import msgspec
@@ -37,6 +38,20 @@
 
 #: Jobs have 100,000 tasks at the most; a longer number is not worth converting.
 MAX_TASK_DIGITS = 7
+#: Names of tasks that are kept split up: some for each task that runs on a large fleet.
+KEPT_NAMES = 8_000
+
+
+@lru_cache(maxsize=KEPT_NAMES)
+def job_and_number(task: str) -> tuple[str, int | None]:
+    """The name of a task's job, and the task's number: None if it is none that a job can have.
+
+    Cached, since each report repeats the names of all tasks on its machine.
+    """
+    name, _, number = task.rpartition("/")
+    if not (number.isascii() and number.isdigit()) or len(number) > MAX_TASK_DIGITS:
+        return name, None
+    return name, int(number)
 
 
 class TaskReport(
@@ -54,13 +69,6 @@
     cause: str | None = None
     saved: bool | None = None
 
-    def job_and_number(self) -> tuple[str, int | None]:
-        """The job's name and the task's number, None if it is none that a job can have."""
-        name, _, number = self.task.rpartition("/")
-        if not (number.isascii() and number.isdigit()) or len(number) > MAX_TASK_DIGITS:
-            return name, None
-        return name, int(number)
-
 
 class Report(
     msgspec.Struct,
