--- a/dappledrum/controller/node.py
+++ b/dappledrum/controller/node.py
@@ -22,6 +22,7 @@
 from dappledrum.jobs.record import Job
 from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.messages import PromiseRequest
+from dappledrum.leadership.term_keeper import TermKeeper
 from dappledrum.leadership.votes import PROMISE
 from dappledrum.leading.leader import Leader
 from dappledrum.peers.client import Peers
@@ -78,25 +79,22 @@
         self.peers = Peers(peers)
         life = min(MAX_LEASE_LIFE, self.params.workers.lease / 3)
         left = self.params.workers.lease + KNOWN_MARGIN
-        self.elector = Elector(
+        keeper = TermKeeper(
             settings.member,
             self.state,
             clock,
             rng,
             life,
             self.peers.promise,
-            self.peers.pre_vote,
-            self.peers.transfer_leadership,
             max(ZERO, self.params.workers.cancel - self.params.workers.lease - ALONE_MARGIN),
             max(MIN_KNOWN_SPAN, self.params.workers.cancel - longer(left)),
         )
+        keeper.on_confirmed = self._apply_confirmed
+        self.elector = Elector(keeper, self.peers.pre_vote, self.peers.transfer_leadership)
         self.elector.on_change = self._leadership_changed
         self.value_limit = ValueLimit(limits)
         self.intake = Intake(self.state, self.params, clock, self.value_limit)
-        self.elector.keeper.confirmed = lambda span: self.intake.confirmed.within(
-            span, clock.now()
-        )
-        self.elector.keeper.on_confirmed = self._apply_confirmed
+        keeper.confirmed = lambda span: self.intake.confirmed.within(span, clock.now())
         self.pause_detector = PauseDetector(clock)
         self.leader: Leader | None = None
         self.reach = Reach(
@@ -117,9 +115,7 @@
         )
         if tuning.reach:
             self.elector.candidacy_delay = self.reach.candidacy_delay
-            self.elector.keeper.all_ask = lambda: (
-                len(self.reach.heartbeat_peers) == len(self.peers.callers)
-            )
+            keeper.all_ask = lambda: len(self.reach.heartbeat_peers) == len(self.peers.callers)
         isolation = Isolation(self.state, self.reach, clock, self.pause_detector)
         self.catalog = CatalogLoader(
             self.state,
--- a/dappledrum/leadership/elector.py
+++ b/dappledrum/leadership/elector.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -27,7 +26,7 @@
     PromiseRequest,
     TransferLeadership,
 )
-from dappledrum.leadership.questions import Asker, PreVoteAsker, TransferCall, majority
+from dappledrum.leadership.questions import PreVoteAsker, TransferCall, majority
 from dappledrum.leadership.term_keeper import TermKeeper
 from dappledrum.leadership.terms import LEADER, Term
 from dappledrum.leadership.transfers import PendingTransfer, TransferLimit
@@ -37,13 +36,12 @@
     CompactedError,
     ConflictError,
     LeaseLostError,
-    State,
     StateError,
     raw,
 )
 from dappledrum.state.hedge import commit_or_find
 from dappledrum.state.messages import Event, Guard, Put
-from dappledrum.timing.clock import ZERO, Clock, longer
+from dappledrum.timing.clock import ZERO, longer
 
 log = logging.getLogger(__name__)
 
@@ -59,39 +57,28 @@
     """Stands for leader when there is none; renews while leading; knows who leads."""
 
     def __init__(
-        self,
-        member: str,
-        state: State,
-        clock: Clock,
-        rng: random.Random,
-        life: timedelta,
-        ask_peers: Asker,
-        ask_pre_vote: PreVoteAsker,
-        send_transfer: TransferCall,
-        max_alone: timedelta,
-        max_known: timedelta,
+        self, keeper: TermKeeper, ask_pre_vote: PreVoteAsker, send_transfer: TransferCall
     ) -> None:
-        self.member = member
-        self.state = state
-        self.clock = clock
-        self.rng = rng
-        self.life = life
+        self.keeper = keeper
+        self.member = keeper.member
+        self.state = keeper.state
+        self.clock = keeper.clock
+        self.rng = keeper.rng
+        self.life = keeper.life
         self.ask_pre_vote = ask_pre_vote
         self.send_transfer = send_transfer
-        self.max_alone = max_alone
-        self.keeper = TermKeeper(member, state, clock, rng, life, ask_peers, max_alone, max_known)
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self.on_change: Callable[[], None] = lambda: None
-        self.votes = VoteState(clock.now())
+        self.votes = VoteState(self.clock.now())
         self.avoid_until = ZERO
         self.epoch = 0  # the highest that was heard of
-        self.transfers = TransferLimit(clock)
+        self.transfers = TransferLimit(self.clock)
         #: How long this controller lets a better one stand first; asked once for each vacancy.
         self.candidacy_delay: Callable[[], timedelta] = lambda: ZERO
         self._delayed = False
         #: The last moment at which this process, or one before it, may have answered a worker.
-        self.held_at = clock.now()
+        self.held_at = self.clock.now()
         self._pending_transfer: PendingTransfer | None = None
         self._transfer_arrived = asyncio.Event()
 
@@ -276,15 +263,42 @@
         return True
 
     async def _campaign(self, transfer: PendingTransfer | None = None) -> None:
-        """Take the key, when there is none or in the place of the leader that offers it."""
+        """Take the key, when there is none or in the place of the leader that offers it, and lead
+        until the term is over."""
+        term = await self._win(transfer)
+        if term is None:
+            return
+        self.term = term
+        self._learn(LeaderRecord(self.member, term.epoch))
+        self.on_change()
+        if transfer is not None:
+            self.transfers.take_over(transfer.request.moves_ms)
+            transfer.resolve(True)
+        clearing = asyncio.ensure_future(self._learn_others_stopped(term))
+        try:
+            await self.keeper.keep(term)
+        finally:
+            clearing.cancel()
+            term.over.set()
+            self.term = None
+            self.held_at = self.clock.now()
+            self._learn(None)
+            self.on_change()
+            log.warning("no longer leading with epoch %d", term.epoch)
+        if term.successor is not None:
+            await self._offer(term, term.successor)
+        await self._drop(term.lease)
+
+    async def _win(self, transfer: PendingTransfer | None) -> Term | None:
+        """Stand for leader; the term, or None when another one leads or may do so."""
         entry = await self.state.get(EPOCH, Rank.LEASE)
         epoch = (
             msgspec.json.decode(entry.value, type=EpochRecord).epoch if entry is not None else 0
         )
         if transfer is not None and transfer.request.epoch != epoch:
-            return
+            return None
         if transfer is None and await self.state.get(LEADER, Rank.LEASE) is not None:
-            return  # taken between the look and the epoch: nobody may be asked to stand against it
+            return None  # taken between the look and the epoch: nobody may be asked to stand
         lease = await self.state.open_lease(self.life)
         # Whoever offers its place and knew that it alone could answer is the only one that can
         # have answered anybody; its key stands, so whom this controller has promised has lapsed.
@@ -294,7 +308,7 @@
             clear = await self._others_stopped(epoch + 1)
             if self.votes.free_at() > self.clock.now():
                 await self._drop(lease)  # a promise was given while we were reading
-                return
+                return None
         self.votes.tried = epoch
         sent = self.clock.now()
         replaced = transfer.request.version if transfer is not None else 0
@@ -309,7 +323,7 @@
             )
         except (ConflictError, LeaseLostError):
             await self._drop(lease)
-            return
+            return None
         except StateError:
             # Won or not, nobody knows: without its lease the key can't stay.
             await self._drop(lease)
@@ -322,35 +336,17 @@
         except StateError:
             await self._drop(lease)
             raise
-        log.warning(
-            "leading with epoch %d after %.0f ms",
-            term.epoch,
-            (self.clock.now() - sent).total_seconds() * 1e3,
-        )
-        self.term = term
-        self._learn(LeaderRecord(self.member, term.epoch))
-        self.on_change()
-        if transfer is not None:
-            self.transfers.take_over(transfer.request.moves_ms)
-            transfer.resolve(True)
-        clearing = asyncio.ensure_future(self._learn_others_stopped(term))
-        try:
-            await self.keeper.keep(term)
-        finally:
-            clearing.cancel()
-            term.over.set()
-            self.term = None
-            self.held_at = self.clock.now()
-            self._learn(None)
-            self.on_change()
-            log.warning("no longer leading with epoch %d", term.epoch)
-        if term.successor is not None:
-            clear = term.others_stopped_at is not None
-            transfers = [*self.transfers.ages_ms(), 0]
-            request = TransferLeadership(self.member, term.epoch, version, transfers, clear)
-            leads = await self.send_transfer(term.successor, request, TRANSFER_TIME)
-            log.info("%s %s", term.successor, "leads" if leads else "does not lead, standing down")
-        await self._drop(lease)
+        took = (self.clock.now() - sent).total_seconds() * 1e3
+        log.warning("leading with epoch %d after %.0f ms", term.epoch, took)
+        return term
+
+    async def _offer(self, term: Term, successor: str) -> None:
+        """Offer the key of a term that has ended to a successor, until it leads or refuses."""
+        clear = term.others_stopped_at is not None
+        transfers = [*self.transfers.ages_ms(), 0]
+        request = TransferLeadership(self.member, term.epoch, term.version, transfers, clear)
+        leads = await self.send_transfer(successor, request, TRANSFER_TIME)
+        log.info("%s %s", successor, "leads" if leads else "does not lead, standing down")
 
     async def _won(self, lease: int) -> int | None:
         """The version of the leader's key if it hangs on this lease, which only one transaction of
@@ -374,7 +370,7 @@
 
     async def _learn_others_stopped(self, term: Term) -> None:
         """Ask on until it is known, or until every promise must have lapsed all the same."""
-        at_last = term.began + longer(self.max_alone + PROMISE)
+        at_last = term.began + longer(self.keeper.max_alone + PROMISE)
         while term.others_stopped_at is None:
             if self.clock.now() >= at_last:
                 term.others_stopped_at = at_last
--- a/dappledrum/leadership/test_confirmed_cancellations.py
+++ b/dappledrum/leadership/test_confirmed_cancellations.py
@@ -17,7 +17,7 @@
 from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.messages import PromiseReply, PromiseRequest
 from dappledrum.leadership.questions import ALWAYS, Answers
-from dappledrum.leadership.term_keeper import WINDOW_MARGIN
+from dappledrum.leadership.term_keeper import WINDOW_MARGIN, TermKeeper
 from dappledrum.leadership.terms import Term
 from dappledrum.peers.client import Peers
 from dappledrum.peers.messages import encode
@@ -41,20 +41,12 @@
         self.takes = takes
         self.heard = []
         self.own = ConfirmedCancellations(s(0))
-        self.elector = Elector(
-            "drummer-0",
-            None,
-            self.clock,
-            random.Random(1),
-            LIFE,
-            self.ask,
-            None,
-            None,
-            s(20),
-            s(20),
+        keeper = TermKeeper(
+            "drummer-0", None, self.clock, random.Random(1), LIFE, self.ask, s(20), s(20)
         )
-        self.elector.keeper.confirmed = lambda span: self.own.within(span, self.clock.now())
-        self.elector.keeper.on_confirmed = lambda names: bool(self.heard.append(names)) or True
+        keeper.confirmed = lambda span: self.own.within(span, self.clock.now())
+        keeper.on_confirmed = lambda names: bool(self.heard.append(names)) or True
+        self.elector = Elector(keeper, None, None)
         self.term = self.elector.term = Term(1, 1, 1, s(90))
         self.term.valid_until = s(101)
         self.term.known_at = None if known is None else s(known)
--- a/dappledrum/state/test_hedge.py
+++ b/dappledrum/state/test_hedge.py
@@ -14,6 +14,7 @@
 from dappledrum.jobs.recorder import Recorder
 from dappledrum.leadership.elector import Elector
 from dappledrum.leadership.questions import Answers
+from dappledrum.leadership.term_keeper import TermKeeper
 from dappledrum.leadership.terms import Term
 from dappledrum.settings import CloudLimits, Params, StateLimits, Team, WorkerLimits
 from dappledrum.standins.network import LateWrites, Network
@@ -416,18 +417,10 @@
         async def pre_vote(_question, _timeout):
             return Answers(1, 1)
 
-        elector = Elector(
-            "node",
-            store.client,
-            store.clock,
-            store.rng,
-            timedelta(seconds=3),
-            None,
-            pre_vote,
-            None,
-            timedelta(seconds=20),
-            timedelta(seconds=20),
-        )
+        span = timedelta(seconds=20)
+        life = timedelta(seconds=3)
+        keeper = TermKeeper("node", store.client, store.clock, store.rng, life, None, span, span)
+        elector = Elector(keeper, pre_vote, None)
         elector.votes.unknown_until = ZERO
         standing_for = asyncio.ensure_future(elector._campaign())
         if own:
