--- a/dappledrum/gangs/all_or_nothing.py
+++ b/dappledrum/gangs/all_or_nothing.py
@@ -30,10 +30,9 @@
 def split(job: Job) -> bool:
     """Whether some tasks of a gang count as placed while others neither do nor are done, or must
     go."""
-    on = job.on_machines()
-    if on == 0:
+    if job.on_machines() == 0:
         return False
-    return on < job.spec.tasks - job.done or any(p.lost for p in job.placements())
+    return job.waiting() > 0 or any(p.lost for p in job.placements())
 
 
 def stop_broken_gangs(jobs: Iterable[Job]) -> None:
--- a/dappledrum/gangs/test_gangs.py
+++ b/dappledrum/gangs/test_gangs.py
@@ -1,11 +1,16 @@
 """Gangs: room found against a search of every moment, and whole controllers in virtual time."""
 
 import asyncio
+from datetime import UTC, datetime
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dappledrum.gangs.all_or_nothing import split
 from dappledrum.gangs.search import Gang, Search, capacity_at
+from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record import Job
 from dappledrum.peers.versions import GANGS, at_least
 from dappledrum.scheduling.plan import Bag, Planner, TeamCapacity
 from dappledrum.scheduling.timeline import Kind, MachineTimeline, Offer, Size
@@ -55,6 +60,20 @@
     return least
 
 
+def test_a_gang_is_incomplete_although_one_of_its_attempts_repeats_a_completed_task():
+    """By the number of attempts on machines it looked complete, and waited for nobody."""
+    spec = msgspec.convert(job(1, beats=3, form="ensemble"), Spec)
+    gang = Job(JobRecord(spec, 0, 256, PageRecord()), 1)
+    page = gang.page(0)
+    for task in range(3):
+        page.place(task, f"host-{task}", 1, "a", datetime.now(UTC))
+    assert not split(gang)
+    page.finish(0)  # in an earlier attempt, as a late report shows
+    assert not split(gang)
+    page.remove(2)
+    assert split(gang)
+
+
 @settings(max_examples=200, derandomize=True, deadline=None)
 @given(rows, st.integers(1, 4), st.integers(1, 8), st.integers(1, 25))
 def test_the_earliest_moment_with_room_for_all(drawn, cpus, count, span):
