Tests: ordinary machines work on, a test for each of the two guards

Each guard left out alone made no test fail before: the first test fails only with both left out. A second one over whole controllers fails without the CPUs of late tasks, a unit test without machines about to be taken.

--- a/dappledrum/controller/test_idle.py
+++ b/dappledrum/controller/test_idle.py
@@ -98,27 +98,52 @@
     run(main())
 
 
-def test_ordinary_machines_work_on_while_late_work_waits_and_spot_machines_are_about_to_go():
+async def busy_world(spec, running):
+    """Two small ordinary machines and a large spot machine, and no more to be had; a job of which
+    so many tasks run."""
+    world = World(seed=45)
+    for kind in (("small", "a", False), ("small", "a", False), ("large", "a", True)):
+        world.cloud.add(kind)
+    world.cloud.most = len(world.cloud.machines)
+    await world.until(lambda: world.leader() is not None)
+    assert await world.submit(spec) == 201
+    await world.until(lambda: len(world.rules.running) >= running)
+    return world
+
+
+async def none_retires(world, seconds):
+    """No machine is told off while this time passes."""
+    leader = world.nodes[world.leader()].leader
+    end = world.now() + seconds
+    while world.now() < end:
+        await world.wait(0.25)
+        assert not any(machine.retiring for machine in leader.roster)
+
+
+def test_ordinary_machines_work_on_while_spot_machines_are_about_to_go():
     """Room on a spot machine that the cloud is about to take counted as room for what waits. While
     no other machine could be had, ordinary ones then got no new work and were returned."""
 
     async def main():
-        world = World(seed=45)
-        for kind in (("small", "a", False), ("small", "a", False), ("large", "a", True)):
-            world.cloud.add(kind)
-        world.cloud.most = len(world.cloud.machines)
-        await world.until(lambda: world.leader() is not None)
         spec = job(1, beats=40, runS=100.0, expectedS=100.0, dueS=60.0)
-        assert await world.submit(spec) == 201
-        await world.until(lambda: len(world.rules.running) >= 10)
+        world = await busy_world(spec, 10)
         taken = next(w for w in world.cloud.workers() if w.kind[0] == "large")
-        taken.recall_at = world.now() + 30
-        leader = world.nodes[world.leader()].leader
-        for _ in range(60):
-            await world.wait(0.25)
-            assert not any(machine.retiring for machine in leader.roster)
+        taken.recall_at = world.now() + 12
+        await none_retires(world, 10)
         assert len(world.rules.running) <= 4, "the spot machine is left in time"
         world.cloud.most = 10
         await world.finish(["j-000001"], most=600)
 
     run(main())
+
+
+def test_ordinary_machines_work_on_while_late_work_waits_for_their_type():
+    """Room on spot machines of another type is none for it."""
+
+    async def main():
+        spec = job(1, beats=30, runS=100.0, expectedS=100.0, dueS=60.0, builds=["small"])
+        world = await busy_world(spec, 4)
+        await none_retires(world, 30)
+        assert await world.cancel("j-000001") == "cancelled"
+
+    run(main())
--- /dev/null
+++ b/dappledrum/dispatch/test_savings.py
@@ -0,0 +1,34 @@
+"""Room on spot machines, for which ordinary machines are retired."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from dappledrum.dispatch.savings import HEADROOM, Savings
+from dappledrum.scheduling.timeline import Kind, MachineTimeline, Size
+from dappledrum.timing.clock import seconds
+
+CPUS = 16.0
+NOW = seconds(1_000)
+
+
+def spare(until, booting=False):
+    """Spare CPUs of one empty spot machine."""
+    model = SimpleNamespace(cpus=CPUS, gpus=0.0, memory_gb=64.0)
+    fleet_manager = SimpleNamespace(types={"large": model})
+    machines = SimpleNamespace(sizes={Size(2.0, 0.0, 2.0)})
+    view = MachineTimeline(
+        *("m", Kind("large", "a", True), Size(CPUS, 0.0, 64.0), NOW, NOW, 1.0, 1.0, seconds(60)),
+        until=until,
+        booting=booting,
+    )
+    return Savings({}, None, machines, fleet_manager, None)._spare([view])
+
+
+@pytest.mark.parametrize(
+    ("until", "booting", "expected"),
+    [(None, False, CPUS * (1 - HEADROOM)), (NOW + seconds(20), False, 0.0), (None, True, 0.0)],
+    ids=["up", "about to be taken", "booting"],
+)
+def test_only_machines_that_are_up_and_stay_have_room(until, booting, expected):
+    assert spare(until, booting) == pytest.approx(expected)
