--- a/dappledrum/controller/test_idle.py
+++ b/dappledrum/controller/test_idle.py
@@ -112,7 +112,7 @@
 
 
 async def none_retires(world, seconds):
-    """No machine is told off while this time passes."""
+    """No machine is retired while this time passes."""
     leader = world.nodes[world.leader()].leader
     end = world.now() + seconds
     while world.now() < end:
@@ -128,8 +128,8 @@
         spec = job(1, beats=40, runS=100.0, expectedS=100.0, dueS=60.0)
         world = await busy_world(spec, 10)
         taken = next(w for w in world.cloud.workers() if w.kind[0] == "large")
-        taken.recall_at = world.now() + 12
-        await none_retires(world, 10)
+        taken.recall_at = world.now() + 30
+        await none_retires(world, 15)
         assert len(world.rules.running) <= 4, "the spot machine is left in time"
         world.cloud.most = 10
         await world.finish(["j-000001"], most=600)
--- a/dappledrum/scale/test_scale.py
+++ b/dappledrum/scale/test_scale.py
@@ -1,6 +1,7 @@
 """A short run over real sockets, and what its parts do with odd input."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
@@ -51,6 +52,7 @@
         process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
     finally:
         signal.signal(signal.SIGINT, before)
+    children: list[psutil.Process] = []
     try:
         parent = psutil.Process(process.pid)
         deadline = time.monotonic() + 60
@@ -62,7 +64,9 @@
         _, alive = psutil.wait_procs(children, timeout=30)
         assert len(children) >= 5 and alive == []
     finally:
-        process.kill()
+        for one in (process, *children):  # a failure once left three controllers behind
+            with contextlib.suppress(psutil.NoSuchProcess):
+                one.kill()
         process.wait()
 
 
