Review, case 3: a swarm of small tasks never ends, since the reports of its machine are refused

Cause: controllers place more tasks on a machine than fit into a report of 64 KiB. Change: the case. The controllers of the cases listen below the ports that the system gives to clients.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0: the same without the disruption.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -23,11 +23,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports that are free at this moment."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports that are free at this moment, below those that the system gives to clients: a
+    controller that is down must find its port free again."""
+    ports: list[int] = []
+    candidates = list(range(15_000, 30_000))
+    random.shuffle(candidates)
+    while len(ports) < count:
+        port = candidates.pop()
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            ports.append(port)
     return ports
 
 
@@ -78,7 +82,8 @@
         self.timing = Timing(params["workers"]["report_s"], params["workers"]["lease_s"])
         self.public: dict[str, str] = {}
         self.settings: dict[str, Path] = {}
-        self.extra_flags: list[str] = []
+        self.temporary = tempfile.TemporaryDirectory()
+        self.cloud = Cloud([], params["cloud"], self._make_worker)
 
     # the record
     def note(self, text: str) -> None:
@@ -93,14 +98,13 @@
     # start and end
     async def start(self, builds: list[dict[str, Any]], capacity: int = 20) -> None:
         """Start the platform and all controllers."""
-        self.temporary = tempfile.TemporaryDirectory()
         scratch = Path(self.temporary.name)
         ports = free_ports(2 * len(self.members))
         back = {}
         for index, member in enumerate(self.members):
             self.public[member] = f"{HOST}:{ports[2 * index]}"
             back[member] = f"{HOST}:{ports[2 * index + 1]}"
-        self.cloud = Cloud(builds, self.params["cloud"], self._make_worker, capacity=capacity)
+        self.cloud.builds, self.cloud.capacity = builds, capacity
         self.cloud.log = self.note
         cloud_server = await Server(self.cloud.handle).start()
         for index, member in enumerate(self.members):
@@ -453,6 +457,10 @@
     """Run a case and exit: 1 if a rule was broken, 0 if none was, 2 if the case couldn't run."""
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await scenario(deployment)
@@ -464,7 +472,7 @@
 
     try:
         code = asyncio.run(bounded())
-    except Exception as error:  # noqa: BLE001 - whatever it is, the case couldn't run
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - any failure of the test
         print(f"the case couldn't run: {error!r}", file=sys.stderr)
         code = 2
     with contextlib.suppress(BrokenPipeError):
--- a/review/standins.py
+++ b/review/standins.py
@@ -652,7 +652,8 @@
         attempt.stance = "running"
         self.observer.started(self, attempt)
         self.changed.set()
-        await asyncio.sleep(self.run_times(attempt.beat))
+        if attempt.beat not in spec.get("_done", ()):  # else the result was kept
+            await asyncio.sleep(self.run_times(attempt.beat))
         attempt.stance, attempt.cause = "ended", "done"
         self.observer.ended(self, attempt)
         self.changed.set()
