Review: case 1 begins with the version in production; the cases by gravity

Change: the build takes the version that the deploy file names from the history, and the case on cancellations starts it, then upgrades.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -19,6 +19,8 @@
 from standins import HOST, Attempt, Client, Cloud, Proxy, Server, StateService, Timing, Worker, now
 
 ROOT = Path(__file__).resolve().parent.parent
+#: The version that is in production before an upgrade, if `build.sh` found it.
+PRODUCTION = ROOT / "target" / "review" / "production"
 FINAL = ("done", "cancelled")
 
 
@@ -35,9 +37,9 @@
     return ports
 
 
-def service_command() -> list[str]:
-    """The command of the deploy file."""
-    text = (ROOT / "deploy" / "service.toml").read_text(encoding="utf-8")
+def service_command(root: Path) -> list[str]:
+    """The command of the deploy file of a version."""
+    text = (root / "deploy" / "service.toml").read_text(encoding="utf-8")
     return shlex.split(tomllib.loads(text)["run"])
 
 
@@ -82,6 +84,7 @@
         self.timing = Timing(params["workers"]["report_s"], params["workers"]["lease_s"])
         self.public: dict[str, str] = {}
         self.settings: dict[str, Path] = {}
+        self.root = ROOT  # of the version that controllers are started with
         self.temporary = tempfile.TemporaryDirectory()
         self.cloud = Cloud([], params["cloud"], self._make_worker)
 
@@ -137,15 +140,15 @@
         """Start one controller with the command of the deploy file."""
         with (Path(self.temporary.name) / f"{member}.log").open("ab") as log:
             self.processes[member] = await asyncio.create_subprocess_exec(
-                *service_command(),
+                *service_command(self.root),
                 str(self.settings[member]),
-                cwd=ROOT,
+                cwd=self.root,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 env=os.environ | {"LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")},
             )
-        self.note(f"{member} is started")
+        self.note(f"{member} is started, version in {self.root.name}")
 
     async def kill_controller(self, member: str) -> None:
         """Kill one controller."""
