Review: controllers end with the test, however it ends

Cause: the controllers of a case went on if its process was killed, or interrupted twice. Change: the system kills them with their parent; a second signal is ignored during the end; the system ends a test after 119 s at the latest.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import random
@@ -24,6 +25,17 @@
 FINAL = ("done", "cancelled")
 
 
+#: The system ends the test this long after its start at the latest, and the controllers with it.
+HARD_LIMIT_S = 119
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """Let the system kill the calling process when its parent ends, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_ports(count: int) -> list[int]:
     """Ports that are free at this moment, below those that the system gives to clients: a
     controller that is down must find its port free again."""
@@ -146,6 +158,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=end_with_parent,
                 env=os.environ | {"LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")},
             )
         self.note(f"{member} is started, version in {self.root.name}")
@@ -460,10 +473,17 @@
     """Run a case and exit: 1 if a rule was broken, 0 if none was, 2 if the case couldn't run."""
 
     async def bounded() -> int:
-        task = asyncio.current_task()
-        assert task is not None
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+        def interrupt() -> None:
+            assert task is not None
+            for number in signals:  # a second signal doesn't interrupt the end of the processes
+                loop.add_signal_handler(number, lambda: None)
+            task.cancel()
+
+        for number in signals:
+            loop.add_signal_handler(number, interrupt)
         try:
             async with asyncio.timeout(limit_s):
                 await scenario(deployment)
@@ -473,6 +493,7 @@
             print(line)
         return 1 if deployment.broken else 0
 
+    signal.alarm(HARD_LIMIT_S)
     try:
         code = asyncio.run(bounded())
     except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - any failure of the test
