Log the figures of refused transactions, and every reason for which a cancellation gets 503

Cause: a cancellation was answered with 503 for 60 s at every controller. The log could not tell a value that is too large from a transaction of too many changes (both are 400), and two ways to a 503 logged nothing: a used-up rate of changes, and a record that is changed at each of six attempts. Change: a refused transaction is logged with its largest value, changes, guards and bytes; each reason for the 503 of a cancellation is logged with the job; the leader logs which records it rewrites in parts. Measured: tests of store, golden and user_api pass; no message changes.

--- a/dappledrum/jobs/record_writer.py
+++ b/dappledrum/jobs/record_writer.py
@@ -102,9 +102,16 @@
         if self.shrunk or not self.value_limit.is_reduced:
             return
         self.shrunk = True
+        limit = self.value_limit.reduced_bytes
         for job in jobs:
             for page in job.pages.values():
-                if page.stored_bytes > self.value_limit.reduced_bytes and not job.finished:
+                if page.stored_bytes > limit and not job.finished:
+                    log.info(
+                        "%s is rewritten in parts, it is too large: bytes=%d max=%d",
+                        page.key,
+                        page.stored_bytes,
+                        limit,
+                    )
                     page.bump_revision()
                     self.mark_dirty(page)
 
--- a/dappledrum/store/client.py
+++ b/dappledrum/store/client.py
@@ -120,8 +120,9 @@
         if reply.status == HTTPStatus.BAD_REQUEST and b"no such lease" in reply.body:
             raise LeaseLostError("lease ended", str(request))
         if reply.status == HTTPStatus.BAD_REQUEST:
-            log.error("store refused a transaction: %.200r", reply.body)
-            reason = f"the store refused a value: {reply.body[:MAX_REASON_BYTES]!r}"
+            figures = _figures(guards, changes, body)
+            log.error("store refused a transaction: %s body=%.200r", figures, reply.body)
+            reason = f"the store refused a value: {reply.body[:MAX_REASON_BYTES]!r}, {figures}"
             raise TooLargeError(reason, str(request))
         log.error("store refused a transaction: status=%d body=%.200r", reply.status, reply.body)
         raise unexpected_status(request, reply)
@@ -169,3 +170,15 @@
             raise unexpected_status(request, reply)
         events = decode_reply(request, reply, Events)
         return events.events, events.revision
+
+
+def _figures(guards: Sequence[Guard], changes: Sequence[Put | Delete], body: bytes) -> str:
+    """The sizes of a transaction, for the log: they tell which limit of the store it exceeds."""
+    values = {
+        change.key: len(bytes(change.value)) for change in changes if isinstance(change, Put)
+    }
+    key = max(values, key=values.__getitem__, default="")
+    return (
+        f"key={key} value_bytes={values.get(key, 0)} changes={len(changes)} guards={len(guards)}"
+        f" bytes={len(body)}"
+    )
--- a/dappledrum/user_api/job_api.py
+++ b/dappledrum/user_api/job_api.py
@@ -240,6 +240,7 @@
                 if self.store.budget.queueing_delay(
                     RequestPriority.SUBMISSION, writes=1
                 ) > timedelta(seconds=0.3):
+                    log.info("cancellation of %s not tried: the rate of changes is used up", job)
                     return busy()
                 try:
                     guards = [Guard(head_key(job), version), Guard(ended_key(job), 0)]
@@ -259,6 +260,7 @@
                 return self._status_response(
                     job, (record, version), HTTPStatus.OK, state_only=True
                 )
+            log.info("cancellation of %s failed: its record was changed at each attempt", job)
         except StoreError as error:
             # A head that is too large for the store is rewritten by the leader, in parts.
             log.info("cancellation of %s failed: %s", job, error)
