A cancellation makes its own room in the job's head

Cause: a cancelling controller wrote the head back whole, longer by the mark of the cancellation, and left it to the leader to split a head that is too large. The leader did split it, up to the limit: a value with fewer than 17 bytes left could never be marked. Nothing told the leader of the refusal, and it writes a head only when its job changes. Change: whoever cancels moves rows and lists that the head has no room for into further parts, in the transaction of the cancellation and under its guards, so that no leader is needed; the refusal of a whole head tells this controller that the limit has dropped, as it does in the leader. A leader that splits a head leaves room for the cancellation of any version, rewrites at the start of its term heads without that room, and takes over the parts that another controller has added. The code of a cancellation moves to a module of its own.

--- a/dappledrum/jobs/job.py
+++ b/dappledrum/jobs/job.py
@@ -19,7 +19,7 @@
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.page_encoding import load_page, page_record
 from dappledrum.jobs.placement import Placement
-from dappledrum.jobs.value_parts import LONG_SPEC_DIVISOR, join_spec, split_spec
+from dappledrum.jobs.value_parts import is_long, join_spec, split_spec
 from dappledrum.scheduling.timeline import Size
 from dappledrum.store.messages import Delete, Put
 from dappledrum.timing.clock import ZERO
@@ -130,11 +130,22 @@
 
     def split_specification(self, max_part_bytes: int) -> None:
         """Move the lists of a long specification from the head into parts."""
-        if not self.spec_parts and self.spec_bytes > max_part_bytes // LONG_SPEC_DIVISOR:
+        if not self.spec_parts and is_long(self.stored_spec, max_part_bytes):
             self.stored_spec, self.unstored_spec_parts = split_spec(self.spec, max_part_bytes)
             self.spec_parts = len(self.unstored_spec_parts)
             self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
 
+    def adopt_head(self, record: JobRecord) -> None:
+        """Take over which values another controller has stored the head in; see
+        `cancelled_head`."""
+        head = self.page(0)
+        head.parts = max(head.parts, record.page.parts)
+        if record.spec_parts > self.spec_parts:
+            self.stored_spec = record.spec
+            self.spec_parts = record.spec_parts
+            self.unstored_spec_parts = []
+            self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
+
     def spec_changes(self) -> list[Put | Delete]:
         """Changes that store the parts of the specification, to be written with the head."""
         return [
--- a/dappledrum/jobs/page_encoding.py
+++ b/dappledrum/jobs/page_encoding.py
@@ -19,7 +19,7 @@
 )
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.placement import Placement
-from dappledrum.jobs.value_parts import split_rows
+from dappledrum.jobs.value_parts import spread_rows
 from dappledrum.store.messages import Delete, Put
 
 MAX_TASKS_PER_PAGE = 256
@@ -28,7 +28,9 @@
 HEAD_OVERHEAD_BYTES = 220  # head without its specification, bitmap and rows
 ROW_OVERHEAD_BYTES = 12  # row without the name, the session and the tasks
 ZONE_OVERHEAD_BYTES = 3  # quotes and a comma
-PARTS_PLACEHOLDER = 99  # number of parts that is assumed while computing the length of a value
+#: What a controller of any version may add to a head when it marks the job as cancelled: the mark
+#: itself, and default values that versions up to 0.2.0 write out.
+CANCELLATION_BYTES = 80
 
 
 def page_size(spec: Spec, value_bytes: int) -> int:
@@ -65,6 +67,11 @@
     return spec + HEAD_OVERHEAD_BYTES + page.count // 4 + heads + sessions + zones + rows
 
 
+def reserved_bytes(page: Page) -> int:
+    """Room that a page's own value must have left for what other controllers may add to it."""
+    return CANCELLATION_BYTES if page.index == 0 and not page.job.cancelled else 0
+
+
 def page_record(page: Page) -> PageRecord:
     """The stored form of a page as a single record."""
     zones: dict[str, int] = {}
@@ -89,20 +96,19 @@
     """Changes that store a page; the first one is for the page's own key.
 
     The page is stored in one value if that has at most `max_bytes`, otherwise in several values
-    of at most `max_part_bytes`.
+    of at most `max_part_bytes`. In a head that is split, room is left for a cancellation.
     """
     record = page_record(page)
     value = _encoded(page, record)
     parts: list[RowsRecord] = []
-    if len(value) > max_bytes:
+    max_split_bytes = max_part_bytes - reserved_bytes(page)
+    # A head of at most `max_bytes` stays whole while not every controller can read parts.
+    if len(value) > (max_split_bytes if max_bytes == max_part_bytes else max_bytes):
         if page.index == 0:
             page.job.split_specification(max_part_bytes)
-        without_rows = msgspec.structs.replace(record, rows=[], parts=PARTS_PLACEHOLDER)
-        capacity = max_part_bytes - len(_encoded(page, without_rows))
-        rows, parts = split_rows(
-            record.prefix, record.zones, record.rows, capacity, max_part_bytes
+        record, parts = spread_rows(
+            record, lambda form: _encoded(page, form), max_split_bytes, max_part_bytes
         )
-        record = msgspec.structs.replace(record, rows=rows, parts=len(parts))
         value = _encoded(page, record)
     changes: list[Put | Delete] = [Put(page.key, msgspec.Raw(value))]
     if page.index == 0:
--- a/dappledrum/jobs/record_writer.py
+++ b/dappledrum/jobs/record_writer.py
@@ -21,6 +21,7 @@
 from dappledrum.jobs.keys import ended_key
 from dappledrum.jobs.messages import EndedRecord, JobRecord, Outcome
 from dappledrum.jobs.page import Page
+from dappledrum.jobs.page_encoding import reserved_bytes
 from dappledrum.jobs.record_batch import RecordBatch
 from dappledrum.jobs.term_committer import TermCommitter
 from dappledrum.settings import StoreLimits
@@ -97,15 +98,16 @@
         self.wake.set()
 
     def shrink(self, jobs: Iterable[Job]) -> None:
-        """Rewrite pages stored in a single value that the store would now refuse: a controller
-        that cancels a job writes the head back without splitting it."""
+        """Rewrite pages that the store would now refuse, and heads without room for what other
+        controllers may add to them: versions up to 0.7.1 cancel a job without splitting its
+        head."""
         if self.shrunk or not self.value_limit.is_reduced:
             return
         self.shrunk = True
         limit = self.value_limit.reduced_bytes
         for job in jobs:
             for page in job.pages.values():
-                if page.stored_bytes > limit and not job.finished:
+                if page.stored_bytes > limit - reserved_bytes(page) and not job.finished:
                     log.info(
                         "%s is rewritten in parts, it is too large: bytes=%d max=%d",
                         page.key,
@@ -281,14 +283,8 @@
         entry = await self.store.get(page.key, RequestPriority.RECORD)
         if entry is not None:
             page.version = entry.version
-            if (
-                page.index == 0
-                and msgspec.json.decode(entry.value, type=JobRecord).cancelled
-                and not job.cancelled
-            ):
-                job.cancelled = job.cancel_stored = True
-                log.info("cancellation of %s found in the store", job.id)
-                self.on_cancelled(job)
+            if page.index == 0:
+                self._adopt_head(job, msgspec.json.decode(entry.value, type=JobRecord))
         elif page.index == 0:
             await self._read_final_state(job)
             self._finish(job)
@@ -299,6 +295,14 @@
         page.version_uncertain = False
         return True
 
+    def _adopt_head(self, job: Job, record: JobRecord) -> None:
+        """Take over a user's cancellation from the stored head."""
+        job.adopt_head(record)
+        if record.cancelled and not job.cancelled:
+            job.cancelled = job.cancel_stored = True
+            log.info("cancellation of %s found in the store", job.id)
+            self.on_cancelled(job)
+
     async def _read_final_state(self, job: Job) -> None:
         """Read the final state of a job without a head.
 
--- a/dappledrum/jobs/value_parts.py
+++ b/dappledrum/jobs/value_parts.py
@@ -4,16 +4,41 @@
 versions need no guards. Only the parts of a finished job are left to garbage collection.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import msgspec
 
-from dappledrum.jobs.messages import FIGURES_PER_TASK, MachineRow, RowsRecord, Spec, SpecPart
+from dappledrum.jobs.messages import (
+    FIGURES_PER_TASK,
+    MachineRow,
+    PageRecord,
+    RowsRecord,
+    Spec,
+    SpecPart,
+)
 
 MAX_TASKS_PER_ROW = 16  # the row of a machine with many small tasks must not exceed a value
 PART_OVERHEAD_BYTES = 40  # part without its items
 SEPARATOR_BYTES = 1  # between two items
 LONG_SPEC_DIVISOR = 2  # a specification above 1/2 of a value's size is stored in parts
+PARTS_PLACEHOLDER = 99  # number of parts that is assumed while computing the length of a value
+
+
+def spread_rows(
+    page: PageRecord,
+    encode: Callable[[PageRecord], bytes],
+    max_bytes: int,
+    max_part_bytes: int,
+) -> tuple[PageRecord, list[RowsRecord]]:
+    """Leave as many rows in a page as its own value of at most `max_bytes` has room for; returns
+    the page and the parts with the other rows, which follow the parts that it has already.
+
+    `encode` returns the page's own value for a form of the page.
+    """
+    without_rows = msgspec.structs.replace(page, rows=[], parts=PARTS_PLACEHOLDER)
+    capacity = max_bytes - len(encode(without_rows))
+    rows, parts = split_rows(page.prefix, page.zones, page.rows, capacity, max_part_bytes)
+    return msgspec.structs.replace(page, rows=rows, parts=page.parts + len(parts)), parts
 
 
 def split_rows(
@@ -44,6 +69,11 @@
             yield row._replace(figures=row.figures[start : start + step])
 
 
+def is_long(spec: Spec, max_part_bytes: int) -> bool:
+    """Whether the lists of a specification are stored in parts if values have this size."""
+    return len(msgspec.json.encode(spec)) > max_part_bytes // LONG_SPEC_DIVISOR
+
+
 def split_spec(spec: Spec, max_part_bytes: int) -> tuple[Spec, list[SpecPart]]:
     """A specification without its lists, and the parts that hold the lists."""
     parts: list[SpecPart] = []
--- a/dappledrum/leader/job_watch.py
+++ b/dappledrum/leader/job_watch.py
@@ -84,6 +84,7 @@
             self._add(job_id, record, version)
             return
         job.page(0).version = version
+        job.adopt_head(record)
         if record.cancelled:
             self.live_jobs.cancel(job, "as its record shows")
         self._job_changed(job)
--- a/dappledrum/user_api/job_api.py
+++ b/dappledrum/user_api/job_api.py
@@ -8,7 +8,6 @@
 import logging
 from collections import OrderedDict
 from datetime import timedelta
-from functools import partial
 from http import HTTPStatus
 from typing import TypeVar
 
@@ -42,11 +41,11 @@
     StoreError,
     TooLargeError,
 )
-from dappledrum.store.hedged_commit import commit_or_find
-from dappledrum.store.messages import Guard, Put, encode_value
+from dappledrum.store.messages import Put, encode_value
 from dappledrum.store.rate_limiter import RequestPriority
 from dappledrum.store.value_limit import ValueLimit
 from dappledrum.timing.clock import Clock
+from dappledrum.user_api.canceller import Canceller
 from dappledrum.user_api.feasibility import infeasibility
 from dappledrum.user_api.poll_batcher import LiveStatus, PollBatcher, live_status
 from dappledrum.user_api.responses import answer, busy, refusal
@@ -84,6 +83,7 @@
         self.poll_batcher = PollBatcher(
             store, params.state.txn_ops * 4, self.find, self._find_many, self._find_ended
         )
+        self.canceller = Canceller(store, self.value_limit, self._find_cached)
         self.lookup = DependencyLookup(
             store, params.state.txn_ops * 4, self._read_live, self._find_many
         )
@@ -168,7 +168,7 @@
 
     async def _reject_unless_accepted(self, job: str, rejection: Response) -> Response:
         """Refuse a submission, unless its job was accepted before and so stays accepted."""
-        found = self.ended.get(job) or await self.find(job, RequestPriority.SUBMISSION)
+        found = await self._find_cached(job, RequestPriority.SUBMISSION)
         return rejection if found is None else self._status_response(job, found, HTTPStatus.OK)
 
     async def _find_rejection(self, spec: Spec) -> Response | None:
@@ -229,49 +229,17 @@
     async def cancel(self, job: str) -> Response:
         """Serve POST /submissions/{id}/cancel."""
         try:
-            for _ in range(6):
-                found = self.ended.get(job) or await self.find(job, RequestPriority.SUBMISSION)
-                if found is None:
-                    return refusal(HTTPStatus.NOT_FOUND, "no such job")
-                if isinstance(found, EndedRecord) or found[0].cancelled:
-                    return self._status_response(job, found, HTTPStatus.OK, state_only=True)
-                record, version = found
-                record.cancelled = True
-                if self.store.budget.queueing_delay(
-                    RequestPriority.SUBMISSION, writes=1
-                ) > timedelta(seconds=0.3):
-                    log.info("cancellation of %s not tried: the rate of changes is used up", job)
-                    return busy()
-                try:
-                    guards = [Guard(head_key(job), version), Guard(ended_key(job), 0)]
-                    stored: int | tuple[JobRecord, int] | EndedRecord = await commit_or_find(
-                        self.store,
-                        guards,
-                        [Put(head_key(job), encode_value(record))],
-                        RequestPriority.SUBMISSION,
-                        partial(self._read_if_cancelled, job),
-                    )
-                except ConflictError:
-                    continue
-                if not isinstance(stored, int):
-                    log.info("%s is cancelled or has ended, as a read of the store shows", job)
-                    return self._status_response(job, stored, HTTPStatus.OK, state_only=True)
-                log.info("cancelled %s", job)
-                return self._status_response(
-                    job, (record, version), HTTPStatus.OK, state_only=True
-                )
-            log.info("cancellation of %s failed: its record was changed at each attempt", job)
+            found = await self.canceller.cancel(job)
         except StoreError as error:
-            # A head that is too large for the store is rewritten by the leader, in parts.
             log.info("cancellation of %s failed: %s", job, error)
-        return busy()
+            return busy()
+        if found is None:
+            return refusal(HTTPStatus.NOT_FOUND, "no such job")
+        return self._status_response(job, found, HTTPStatus.OK, state_only=True)
 
-    async def _read_if_cancelled(self, job: str) -> StoredJob:
-        """Return the stored job if it is cancelled or has ended, whoever wrote that; else None."""
-        found = await self.find(job, RequestPriority.SUBMISSION)
-        if isinstance(found, tuple) and not found[0].cancelled:
-            return None
-        return found
+    async def _find_cached(self, job: str, priority: RequestPriority) -> StoredJob:
+        """Read a job unless its final state is known."""
+        return self.ended.get(job) or await self.find(job, priority)
 
     async def find(self, job: str, priority: RequestPriority) -> StoredJob:
         """Read a job.
