A cancellation may take more values than one transaction may change

Callers saw: with few changes in a transaction (4, 2 KiB values) the cancellation of a job whose head an earlier version had written whole got 503 for ever, as its parts did not fit into the transaction. Cause: head and parts were stored at once, however many parts the head needed. Change: parts that the head does not count yet, which readers ignore, are written before, in transactions that are guarded by the head's version; the last one is guarded by the versions of these parts, too, since another controller may have written its own parts there. Such writes wait for the rate instead of failing. Readers take only the parts of a specification that the head counts, and remove the others with the job. Heads without rows drop the names that only rows use if they don't fit otherwise. How a specification is stored moves from Job to StoredSpec.

--- a/dappledrum/jobs/cancelled_head.py
+++ b/dappledrum/jobs/cancelled_head.py
@@ -38,14 +38,14 @@
     first_rows, first_spec = record.page.parts, record.spec_parts
     return [
         Put(head_key(job), encode_value(cancelled)),
-        *(
-            Put(rows_key(job, 0, number), encode_value(part))
-            for number, part in enumerate(row_parts, first_rows)
-        ),
         *(
             Put(spec_key(job, number), encode_value(part))
             for number, part in enumerate(spec_parts, first_spec)
         ),
+        *(
+            Put(rows_key(job, 0, number), encode_value(part))
+            for number, part in enumerate(row_parts, first_rows)
+        ),
     ]
 
 
--- a/dappledrum/jobs/garbage_collector.py
+++ b/dappledrum/jobs/garbage_collector.py
@@ -27,7 +27,7 @@
                 self.keys[page.key] = None
             for part in range(page.parts):
                 self.keys[rows_key(job.id, page.index, part)] = None
-        for part in range(job.spec_parts):
+        for part in range(job.stored_spec.existing_parts):
             self.keys[spec_key(job.id, part)] = None
 
     async def collect(self, capacity: int) -> None:
--- a/dappledrum/jobs/job.py
+++ b/dappledrum/jobs/job.py
@@ -3,9 +3,6 @@
 from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime
 
-import msgspec
-
-from dappledrum.jobs.keys import spec_key
 from dappledrum.jobs.messages import (
     PRIORITY_RANKS,
     EndedRecord,
@@ -19,9 +16,8 @@
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.page_encoding import load_page, page_record
 from dappledrum.jobs.placement import Placement
-from dappledrum.jobs.value_parts import is_long, join_spec, split_spec
+from dappledrum.jobs.stored_spec import StoredSpec
 from dappledrum.scheduling.timeline import Size
-from dappledrum.store.messages import Delete, Put
 from dappledrum.timing.clock import ZERO
 
 
@@ -31,11 +27,9 @@
     def __init__(
         self, record: JobRecord, version: int, spec_parts: Sequence[SpecPart] = ()
     ) -> None:
-        self.spec: Spec = join_spec(record.spec, spec_parts)
+        self.stored_spec = StoredSpec(record, spec_parts)
+        self.spec: Spec = self.stored_spec.complete
         self.size = Size(self.spec.cpus, self.spec.gpus, self.spec.memory_gb)
-        self.stored_spec = record.spec
-        self.spec_parts = len(spec_parts)
-        self.unstored_spec_parts: list[SpecPart] = []  # to be written with the head
         self.id = record.spec.id
         self.page_size = record.size
         self.accepted_at = datetime.fromtimestamp(record.at_ms / 1000, UTC)
@@ -54,7 +48,6 @@
         self.cancelled = record.cancelled
         self.cancel_stored = record.cancelled  # users may have received an acknowledgement
         self.done = 0
-        self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
         self.pages: dict[int, Page] = {}
         load_page(self.page(0), record.page, version)
         self.done = self.pages[0].done.bit_count()
@@ -128,30 +121,12 @@
             return Outcome.CANCELLED
         return Outcome.RUNNING if self.placement_count() else Outcome.QUEUED
 
-    def split_specification(self, max_part_bytes: int) -> None:
-        """Move the lists of a long specification from the head into parts."""
-        if not self.spec_parts and is_long(self.stored_spec, max_part_bytes):
-            self.stored_spec, self.unstored_spec_parts = split_spec(self.spec, max_part_bytes)
-            self.spec_parts = len(self.unstored_spec_parts)
-            self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
-
     def adopt_head(self, record: JobRecord) -> None:
-        """Take over which values another controller has stored the head in; see
-        `cancelled_head`."""
+        """Take over which values the head is stored in; another controller may have written it,
+        see `cancelled_head`."""
+        self.stored_spec.adopt(record)
         head = self.page(0)
         head.parts = max(head.parts, record.page.parts)
-        if record.spec_parts > self.spec_parts:
-            self.stored_spec = record.spec
-            self.spec_parts = record.spec_parts
-            self.unstored_spec_parts = []
-            self.spec_bytes = len(msgspec.json.encode(self.stored_spec))
-
-    def spec_changes(self) -> list[Put | Delete]:
-        """Changes that store the parts of the specification, to be written with the head."""
-        return [
-            Put(spec_key(self.id, at), msgspec.Raw(msgspec.json.encode(part)))
-            for at, part in enumerate(self.unstored_spec_parts)
-        ]
 
     def head_record(self, page: PageRecord | None = None) -> JobRecord:
         """Stored form of the head, including the record of its page."""
@@ -160,7 +135,7 @@
         if self.spec.needs and not self.unmet_dependencies:
             released_ms = round(self.released_at.timestamp() * 1000)
         return JobRecord(
-            self.stored_spec,
+            self.stored_spec.in_head,
             at_ms,
             self.page_size,
             page or page_record(self.page(0)),
@@ -168,7 +143,7 @@
             self.done,
             self.running(),
             released_ms,
-            self.spec_parts,
+            self.stored_spec.part_count,
         )
 
     def ended_record(self) -> EndedRecord:
--- a/dappledrum/jobs/page.py
+++ b/dappledrum/jobs/page.py
@@ -34,7 +34,7 @@
         self.stored_revision = 0
         self.stored_bytes = 0
         self.version = 0  # of the stored key; 0 if it is not stored
-        self.parts = 0  # number of additional values of the stored form
+        self.parts = 0  # number of additional values that may exist
         # Whether the version must be read before the next write, as the last outcome is unknown.
         self.version_uncertain = False
         self.delayed_write_possible = False  # an unanswered write may still be executed
--- a/dappledrum/jobs/page_encoding.py
+++ b/dappledrum/jobs/page_encoding.py
@@ -62,7 +62,7 @@
     sessions = sum(len(str(session)) for _, session in machines)
     zone_names = {p.zone for p in page.placements.values()}
     zones = sum(len(zone) + ZONE_OVERHEAD_BYTES for zone in zone_names)
-    spec = page.job.spec_bytes if page.index == 0 else 0
+    spec = page.job.stored_spec.head_bytes if page.index == 0 else 0
     rows = max_row_bytes(page, now) * (len(page.placements) + 1)
     return spec + HEAD_OVERHEAD_BYTES + page.count // 4 + heads + sessions + zones + rows
 
@@ -105,14 +105,14 @@
     # A head of at most `max_bytes` stays whole while not every controller can read parts.
     if len(value) > (max_split_bytes if max_bytes == max_part_bytes else max_bytes):
         if page.index == 0:
-            page.job.split_specification(max_part_bytes)
+            page.job.stored_spec.split(max_part_bytes)
         record, parts = spread_rows(
             record, lambda form: _encoded(page, form), max_split_bytes, max_part_bytes
         )
         value = _encoded(page, record)
     changes: list[Put | Delete] = [Put(page.key, msgspec.Raw(value))]
     if page.index == 0:
-        changes += page.job.spec_changes()
+        changes += page.job.stored_spec.changes()
     return changes + _part_changes(page, parts)
 
 
--- a/dappledrum/jobs/record_batch.py
+++ b/dappledrum/jobs/record_batch.py
@@ -6,6 +6,7 @@
 from dappledrum.jobs.keys import ROWS_PREFIX, ended_key, head_key
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.page_encoding import page_changes
+from dappledrum.jobs.staged_write import CHANGE_OVERHEAD_BYTES
 from dappledrum.settings import StoreLimits
 from dappledrum.store.client import MAX_TRANSACTION_BYTES
 from dappledrum.store.hedged_commit import Evidence
@@ -13,7 +14,6 @@
 from dappledrum.store.value_limit import ValueLimit
 
 ENDED_JOB_BYTES = 600  # upper bound for the changes that end a job
-CHANGE_OVERHEAD_BYTES = 400  # upper bound for a change without its value
 
 
 class WrittenPage(NamedTuple):
@@ -89,7 +89,10 @@
         """Record that the transaction may have been executed, or may still be."""
         for written in self.pages:
             # Count all parts that may exist, so that unneeded ones are deleted by a later write.
-            written.page.parts = max(written.page.parts, written.parts)
+            page = written.page
+            page.parts = max(page.parts, written.parts)
+            if page.index == 0:
+                page.job.stored_spec.mark_outcome_unknown()
         for page in self.guarded_pages():
             page.version_uncertain = page.delayed_write_possible = True
 
@@ -99,7 +102,7 @@
             page = written.page
             page.parts, page.stored_bytes = written.parts, written.value_bytes
             if page.index == 0:
-                page.job.unstored_spec_parts = []
+                page.job.stored_spec.mark_stored()
                 page.job.cancel_stored |= written.cancelled
             page.version = max(page.version, revision)
             page.delayed_write_possible = False  # the guard of an older write now fails
--- a/dappledrum/jobs/value_parts.py
+++ b/dappledrum/jobs/value_parts.py
@@ -38,7 +38,11 @@
     without_rows = msgspec.structs.replace(page, rows=[], parts=PARTS_PLACEHOLDER)
     capacity = max_bytes - len(encode(without_rows))
     rows, parts = split_rows(page.prefix, page.zones, page.rows, capacity, max_part_bytes)
-    return msgspec.structs.replace(page, rows=rows, parts=page.parts + len(parts)), parts
+    page = msgspec.structs.replace(page, rows=rows, parts=page.parts + len(parts))
+    if not rows and len(encode(page)) > max_bytes:
+        without_names = msgspec.structs.replace(page, prefix="", zones=[])  # only rows use them
+        page = without_names if len(encode(without_names)) <= max_bytes else page
+    return page, parts
 
 
 def split_rows(
--- a/dappledrum/leader/job_loader.py
+++ b/dappledrum/leader/job_loader.py
@@ -64,7 +64,7 @@
             part = self.decode(job_id, entry.value, SpecPart)
             if part is not None:
                 parts.setdefault(job_id, {})[int(number)] = part
-        return parts
+        return {job_id: dict(sorted(numbered.items())) for job_id, numbered in parts.items()}
 
     def _add_jobs(self, entries: Iterable[Entry], parts: dict[str, dict[int, SpecPart]]) -> None:
         """Add the jobs, and remove the parts of their specifications from `parts`."""
@@ -74,10 +74,11 @@
             spec_parts = parts.pop(job_id, {})
             if record is None or job_id in self.quarantined:
                 continue
-            job = self.make_job(
-                record, entry.version, [spec_parts[number] for number in sorted(spec_parts)]
-            )
+            # Parts that the head does not count may be incomplete, see `staged_write`.
+            counted = [part for number, part in spec_parts.items() if number < record.spec_parts]
+            job = self.make_job(record, entry.version, counted)
             if job is not None:
+                job.stored_spec.existing_parts = max(spec_parts, default=-1) + 1
                 job.page(0).stored_bytes = len(bytes(entry.value))
                 self.jobs[job_id] = job
 
--- a/dappledrum/model/stored_heads.py
+++ b/dappledrum/model/stored_heads.py
@@ -161,10 +161,14 @@
     for number in range(record.page.parts):
         part = msgspec.json.decode(values[rows_key(JOB, 0, number)], type=RowsRecord)
         load_rows(page, part)
+    return contents_of(job)
+
+
+def contents_of(job: Job) -> JobContents:
+    """What the values of a job say if they are those of a job in a leader's memory."""
+    page = job.page(0)
     placements = frozenset(
         (p.task, p.attempt, p.machine, p.session, p.zone, p.placed_at.isoformat())
         for p in page.placements.values()
     )
-    return JobContents(
-        job.spec, page.done, page.attempt, placements, record.released_ms is not None
-    )
+    return JobContents(job.spec, page.done, page.attempt, placements, not job.unmet_dependencies)
--- a/dappledrum/user_api/canceller.py
+++ b/dappledrum/user_api/canceller.py
@@ -8,6 +8,7 @@
 from dappledrum.jobs.cancelled_head import cancelled_head
 from dappledrum.jobs.keys import ended_key, head_key
 from dappledrum.jobs.messages import JobRecord
+from dappledrum.jobs.staged_write import stage, write_early
 from dappledrum.jobs.stored_job import StoredJob
 from dappledrum.store.client import StoreClient
 from dappledrum.store.errors import ConflictError, RateLimitedError, StoreError, TooLargeError
@@ -23,15 +24,18 @@
 
 
 class Canceller:
-    """Cancellations of one controller; `find` reads a job."""
+    """Cancellations of one controller; `find` reads a job, and a transaction has at most
+    `max_changes`."""
 
     def __init__(
         self,
         store: StoreClient,
+        max_changes: int,
         value_limit: ValueLimit,
         find: Callable[[str, RequestPriority], Awaitable[StoredJob]],
     ) -> None:
         self.store = store
+        self.max_changes = max_changes
         self.value_limit = value_limit
         self.find = find
 
@@ -63,13 +67,20 @@
         self, job: str, record: JobRecord, version: int, changes: list[Put]
     ) -> StoredJob:
         """Store the changes that cancel a job whose head has this version."""
-        priority = RequestPriority.SUBMISSION
-        if self.store.budget.queueing_delay(priority, len(changes)) > MAX_QUEUEING_DELAY:
+        if self.store.budget.queueing_delay(RequestPriority.SUBMISSION, 1) > MAX_QUEUEING_DELAY:
             raise RateLimitedError("the rate of changes is used up")
+        # Several changes wait for their rate: a user who is sent away would find the rate used up
+        # by others again and again.
+        priority = RequestPriority.SUBMISSION if len(changes) == 1 else RequestPriority.RECORD
+        write = stage(changes, self.max_changes)
+        guards = [Guard(head_key(job), version), Guard(ended_key(job), 0)]
+        part_guards = await write_early(
+            write.early, lambda puts: self.store.commit(guards, puts, priority)
+        )
         stored: int | StoredJob = await commit_or_find(
             self.store,
-            [Guard(head_key(job), version), Guard(ended_key(job), 0)],
-            changes,
+            guards + part_guards,
+            write.final,
             priority,
             partial(self._find_cancelled, job),
         )
--- a/dappledrum/user_api/job_api.py
+++ b/dappledrum/user_api/job_api.py
@@ -83,7 +83,9 @@
         self.poll_batcher = PollBatcher(
             store, params.state.txn_ops * 4, self.find, self._find_many, self._find_ended
         )
-        self.canceller = Canceller(store, self.value_limit, self._find_cached)
+        self.canceller = Canceller(
+            store, params.state.txn_ops, self.value_limit, self._find_cached
+        )
         self.lookup = DependencyLookup(
             store, params.state.txn_ops * 4, self._read_live, self._find_many
         )
