A record that the store refuses keeps no other from being stored

Callers would see: no start, no end and no progress of any job is stored any more, in any term. Cause: the writer repeated a refused transaction with all its records, and raised the same error each time; nobody looked which of them the store refused. Change: the records of a refused transaction are written one by one. One that is refused alone is logged with its key and the reason, and tried again every 5 s; it counts neither for the backlog of starts nor for the flush before a transfer of leadership.

--- a/dappledrum/jobs/record_writer.py
+++ b/dappledrum/jobs/record_writer.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -29,7 +29,7 @@
 from dappledrum.store.errors import ConflictError, StoreError, TooLargeError
 from dappledrum.store.rate_limiter import RequestPriority
 from dappledrum.store.value_limit import ValueLimit
-from dappledrum.timing.clock import Clock
+from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.timing.supervisor import Supervisor
 
 log = logging.getLogger(__name__)
@@ -39,6 +39,7 @@
 MAX_COMMIT_DELAY = timedelta(seconds=2)  # for ends of tasks, while starts need the write rate
 MAX_ENDING_JOBS_MOVED_AT_ONCE = 16  # above this, cancellations are recorded before jobs are moved
 CHANGES_PER_ENDED_JOB = 2  # the head is deleted, the final state is put
+REFUSED_RETRY_INTERVAL = timedelta(seconds=5)  # for a page that the store refuses
 RECHECK_INTERVAL = timedelta(milliseconds=100)
 SUPERVISOR = Supervisor(
     log,
@@ -67,6 +68,8 @@
         self.clock = clock
         self.dirty: dict[Page, timedelta] = {}  # when each page became due for writing
         self.ending: dict[Job, None] = {}  # jobs whose head is to be replaced by a final state
+        #: Pages and ends of jobs that the store has refused alone, and when they are tried again.
+        self.refused: dict[Page | Job, timedelta] = {}
         self.committer = TermCommitter(store, term, clock)
         self.garbage: OrderedDict[str, None] = OrderedDict()  # keys to be removed
         self.garbage_collector = GarbageCollector(self.committer, self.garbage)
@@ -119,7 +122,11 @@
 
     def unstored_start_count(self) -> int:
         """Number of pages with starts that are not stored yet."""
-        return sum(page.has_unstored_start for page in self.dirty)
+        return sum(page.has_unstored_start and not self._is_refused(page) for page in self.dirty)
+
+    def has_unstored_changes(self) -> bool:
+        """Whether changes of pages wait to be stored, other than those that the store refuses."""
+        return any(not self._is_refused(page) for page in self.dirty)
 
     async def run(self) -> None:
         """Write changes until the term is over."""
@@ -174,7 +181,8 @@
         urgent = [
             page
             for page, since in self.dirty.items()
-            if page.has_unstored_start or now - since > MAX_COMMIT_DELAY
+            if (page.has_unstored_start or now - since > MAX_COMMIT_DELAY)
+            and not self._is_refused(page)
         ]
         urgent.sort(key=lambda page: (not page.has_unstored_start, page.job.effective_rank))
         return urgent
@@ -188,7 +196,8 @@
             ),
         )
         chosen = set(urgent)
-        return [page for page in self.dirty if page not in chosen][: max(0, spare)]
+        others = [page for page in self.dirty if page not in chosen and not self._is_refused(page)]
+        return others[: max(0, spare)]
 
     def _cancelled_heads(self) -> list[Page]:
         """Heads in which a cancellation is recorded first, if many jobs are ending at once.
@@ -204,14 +213,14 @@
     ) -> None:
         limit = max(1, selection.capacity // 2 if has_urgent else selection.capacity)
         for page in heads[:limit]:
-            if await self._verify_version(page):
+            if not self._is_refused(page) and await self._verify_version(page):
                 selection.add_page(page)
 
     async def _select_ended(
         self, selection: "_Selection", only_done: bool, has_urgent: bool
     ) -> None:
         for job in list(self.ending):
-            if only_done and job.cancelled:
+            if (only_done and job.cancelled) or self._is_refused(job):
                 continue
             if selection.capacity >= CHANGES_PER_ENDED_JOB and await self._verify_version(
                 job.page(0)
@@ -229,6 +238,11 @@
             elif selection.capacity >= 1 and await self._verify_version(page):
                 selection.add_page(page)
 
+    def _is_refused(self, item: Page | Job) -> bool:
+        """Whether the store has refused a page, or the end of a job, so recently that it is not
+        tried again yet."""
+        return self.refused.get(item, ZERO) > self.clock.now()
+
     def _capacity(self) -> int:
         """Number of changes allowed in the next transaction by the write rate; at least four."""
         allowed = int(
@@ -245,21 +259,37 @@
             batch.mark_conflicts(set(error.conflicting_keys))
             return
         except TooLargeError as error:
+            # Not executed. If the limit has dropped, the retry splits the values.
             if not self.value_limit.record_refusal(batch.largest_value_bytes(), str(error)):
-                raise
-            return  # not executed; the retry splits the values
+                await self._write_separately(batch, error)
+            return
         except StoreError:
             batch.mark_outcome_unknown()
             raise
         batch.mark_stored(revision)
         for written in batch.pages:
             self.dirty.pop(written.page, None)
+            self.refused.pop(written.page, None)
             if written.page.dirty:
                 self.dirty[written.page] = self.clock.now()
         for job in batch.ended:
             self._finish(job)
         await self._notify_stored()
 
+    async def _write_separately(self, batch: RecordBatch, error: TooLargeError) -> None:
+        """Write the records of a refused batch one by one, so that the one that is too large
+        keeps no other from being stored."""
+        if len(batch.guarded_pages()) > 1:
+            for written in batch.pages:
+                await self._write(_Selection.of(pages=[written.page]))
+            for job in batch.ended:
+                await self._write(_Selection.of(jobs=[job]))
+            return
+        [page] = batch.guarded_pages()
+        log.error("%s is not stored, the store refuses it: %s", page.key, error)
+        refused = page.job if batch.ended else page
+        self.refused[refused] = self.clock.now() + REFUSED_RETRY_INTERVAL
+
     def _batch(self, selection: "_Selection") -> RecordBatch:
         """The part of a selection that fits into one transaction."""
         batch = RecordBatch(self.limits, self.value_limit)
@@ -329,6 +359,8 @@
         self.ending.pop(job, None)
         for page in job.pages.values():
             self.dirty.pop(page, None)
+            self.refused.pop(page, None)
+        self.refused.pop(job, None)
         self.garbage_collector.add(job)
         self.on_ended(job)
 
@@ -341,6 +373,14 @@
         self.pages: list[Page] = []
         self.jobs: list[Job] = []
 
+    @classmethod
+    def of(cls, pages: Sequence[Page] = (), jobs: Sequence[Job] = ()) -> "_Selection":
+        """Just these pages and jobs."""
+        selection = cls(0)
+        selection.pages += pages
+        selection.jobs += jobs
+        return selection
+
     def add_page(self, page: Page) -> None:
         self.pages.append(page)
         self.capacity -= 1
--- a/dappledrum/leader/leader.py
+++ b/dappledrum/leader/leader.py
@@ -248,7 +248,7 @@
     async def flush_records(self, timeout: timedelta) -> None:
         """Wait up to `timeout` until all changes are stored, before another controller leads."""
         deadline = self.clock.now() + timeout
-        while self.record_writer.dirty and self.clock.now() < deadline:
+        while self.record_writer.has_unstored_changes() and self.clock.now() < deadline:
             await asyncio.sleep(FLUSH_CHECK_INTERVAL.total_seconds())
 
     async def answer_heartbeat(
