Surplus parts are removed in as many transactions as it takes

Callers would see: a job whose page had been stored in many parts and then shrank gets no start and no end stored any more, if the limits allow fewer changes than the page had parts. Cause: a page that has shrunk removed all its surplus parts in the transaction that wrote it. Change: it removes as many as there is room for, the last ones first; readers ignore the others, and later writes remove them. Measured: test_surplus_parts_are_removed_in_several_transactions fails on the former code (11 changes where 4 are allowed), and passes.

--- a/dappledrum/jobs/record_batch.py
+++ b/dappledrum/jobs/record_batch.py
@@ -6,7 +6,7 @@
 from dappledrum.jobs.keys import ROWS_PREFIX, ended_key, head_key
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.page_encoding import page_changes
-from dappledrum.jobs.staged_write import CHANGE_OVERHEAD_BYTES
+from dappledrum.jobs.staged_write import change_bytes
 from dappledrum.settings import StoreLimits
 from dappledrum.store.client import MAX_TRANSACTION_BYTES
 from dappledrum.store.hedged_commit import Evidence
@@ -21,7 +21,7 @@
 
     page: Page
     revision: int
-    parts: int
+    existing_parts: int  # with those whose removal has to wait
     value_bytes: int
     cancelled: bool  # whether the record shows the job as cancelled
 
@@ -55,21 +55,19 @@
         changes = page_changes(
             page, self.value_limit.max_whole_bytes, self.value_limit.reduced_bytes
         )
-        puts = [change for change in changes if isinstance(change, Put)]
-        size = sum(len(bytes(put.value)) + CHANGE_OVERHEAD_BYTES for put in puts)
+        changes = _with_fewer_removals(changes, self.limits.txn_ops)
+        size = sum(map(change_bytes, changes))
         too_many = len(self.changes) + len(changes) > self.limits.txn_ops
         if self.changes and (too_many or self._bytes + size > MAX_TRANSACTION_BYTES):
             return False
         self._bytes += size
-        page_put = puts[0]
+        page_put = changes[0]
+        assert isinstance(page_put, Put)
         self.guards.append(Guard(page.key, page.version))
         self.changes += changes
         if _identifies_transaction(page):
             self.evidence.append(Evidence(page.key, page.version, page_put.value))
-        parts = sum(put.key.startswith(ROWS_PREFIX) for put in puts)
-        self.pages.append(
-            WrittenPage(page, page.revision, parts, len(bytes(page_put.value)), page.job.cancelled)
-        )
+        self.pages.append(_written_page(page, changes, page_put))
         return True
 
     def guarded_pages(self) -> list[Page]:
@@ -90,7 +88,7 @@
         for written in self.pages:
             # Count all parts that may exist, so that unneeded ones are deleted by a later write.
             page = written.page
-            page.parts = max(page.parts, written.parts)
+            page.parts = max(page.parts, written.existing_parts)
             if page.index == 0:
                 page.job.stored_spec.mark_outcome_unknown()
         for page in self.guarded_pages():
@@ -100,7 +98,7 @@
         """Record that the pages are stored; `revision` is that of the transaction."""
         for written in self.pages:
             page = written.page
-            page.parts, page.stored_bytes = written.parts, written.value_bytes
+            page.parts, page.stored_bytes = written.existing_parts, written.value_bytes
             if page.index == 0:
                 page.job.stored_spec.mark_stored()
                 page.job.cancel_stored |= written.cancelled
@@ -109,6 +107,27 @@
             page.stored_revision = max(page.stored_revision, written.revision)
 
 
+def _with_fewer_removals(changes: list[Put | Delete], max_changes: int) -> list[Put | Delete]:
+    """The changes of a page with only as many removals of parts as `max_changes` have room for,
+    the last ones first. Parts that the page does not count are ignored until they are removed."""
+    puts = [change for change in changes if isinstance(change, Put)]
+    removals = [change for change in changes if isinstance(change, Delete)]
+    surplus = min(len(removals), max(0, len(changes) - max_changes))
+    return [*puts, *removals[surplus:]]
+
+
+def _written_page(page: Page, changes: list[Put | Delete], page_put: Put) -> WrittenPage:
+    parts = sum(isinstance(c, Put) and c.key.startswith(ROWS_PREFIX) for c in changes)
+    removed = sum(isinstance(change, Delete) for change in changes)
+    return WrittenPage(
+        page,
+        page.revision,
+        max(parts, page.parts - removed),
+        len(bytes(page_put.value)),
+        page.job.cancelled,
+    )
+
+
 def _identifies_transaction(page: Page) -> bool:
     """Whether only the transaction about to be sent can write the page's next stored form, not an
     earlier unanswered one nor a user's cancellation."""
--- a/dappledrum/jobs/test_record_writer.py
+++ b/dappledrum/jobs/test_record_writer.py
@@ -9,6 +9,7 @@
 from dappledrum.election.terms import Term
 from dappledrum.jobs.job import Job
 from dappledrum.jobs.messages import JobRecord, PageRecord, Spec
+from dappledrum.jobs.record_batch import RecordBatch
 from dappledrum.jobs.record_writer import (
     MAX_COMMIT_DELAY,
     REFUSED_RETRY_INTERVAL,
@@ -19,6 +20,7 @@
 from dappledrum.simulation.virtual_time import run
 from dappledrum.store.client import StoreClient
 from dappledrum.store.errors import TooLargeError
+from dappledrum.store.messages import Delete
 from dappledrum.store.rate_limiter import RateLimiter
 from dappledrum.store.value_limit import ValueLimit
 from dappledrum.timing.clock import Clock
@@ -91,6 +93,23 @@
     assert not record_writer.dirty
 
 
+def test_surplus_parts_are_removed_in_several_transactions():
+    """Guards against a page that can't be written any more, since the removal of its former parts
+    takes more changes than a transaction may have."""
+    limits = StoreLimits(100, 100, 8, 4)
+    page = live_job(1).page(0)
+    page.parts = 10
+    removed = []
+    for _ in range(4):
+        batch = RecordBatch(limits, ValueLimit(limits))
+        assert batch.add_page(page)
+        assert len(batch.changes) <= limits.txn_ops
+        removed += [change.key for change in batch.changes if isinstance(change, Delete)]
+        batch.mark_stored(7)
+    assert sorted(removed) == [f"rows/j-000001/0/{number}" for number in range(10)]
+    assert page.parts == 0
+
+
 def test_starts_do_not_queue_behind_ends_of_tasks():
     """Guards against writing every end of a task at once: with a hundred live jobs, that used the
     whole write rate, and a start waited seconds for its record."""
