A submission that is too large fails no other

Callers saw: 503 for valid submissions that happened to share a transaction with one that the store refuses. Cause: the error of a refused transaction was passed to all its submissions. Change: the submissions of a transaction that is refused for its size are stored one by one.

--- a/dappledrum/user_api/submission_batcher.py
+++ b/dappledrum/user_api/submission_batcher.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NamedTuple
@@ -13,12 +14,14 @@
 from dappledrum.jobs.keys import ended_key, head_key
 from dappledrum.jobs.stored_job import StoredJob
 from dappledrum.store.client import MAX_TRANSACTION_BYTES, StoreClient
-from dappledrum.store.errors import ConflictError, StoreError
+from dappledrum.store.errors import ConflictError, StoreError, TooLargeError
 from dappledrum.store.hedged_commit import commit_or_find
 from dappledrum.store.messages import Guard, Put
 from dappledrum.store.rate_limiter import RequestPriority
 from dappledrum.timing.clock import ZERO
 
+log = logging.getLogger(__name__)
+
 BATCH_DELAY = timedelta(milliseconds=5)  # submissions that arrive within it share a transaction
 MAX_CONCURRENT_TRANSACTIONS = 4  # one slow answer of the store must not delay later submissions
 MAX_QUEUEING_DELAY = timedelta(milliseconds=300)  # beyond it, users are asked to try again
@@ -132,8 +135,7 @@
             if remaining:
                 await self._commit(remaining)
         except StoreError as error:
-            for submission in batch:
-                submission.fail(type(error)(error.reason, error.request))
+            await self._handle_error(batch, error)
         except Exception as error:
             for submission in batch:
                 submission.fail(StoreError(str(error)))
@@ -144,6 +146,16 @@
         for submission in batch:
             submission.mark_retrieved()
 
+    async def _handle_error(self, batch: list[_PendingSubmission], error: StoreError) -> None:
+        """Fail the submissions of a batch; one that is too large fails no other."""
+        if isinstance(error, TooLargeError) and len(batch) > 1:
+            log.info("submissions are stored separately, the store refuses one: %s", error)
+            for submission in batch:
+                await self._commit([submission])
+            return
+        for submission in batch:
+            submission.fail(type(error)(error.reason, error.request))
+
     @staticmethod
     def _fail_conflicting(
         batch: list[_PendingSubmission], error: ConflictError
