A job with names of any length can be stored and cancelled

Callers saw: 503 for ever for the submission of a job whose names don't fit into a value, and for the cancellation of one whose names left no room in its head, for example with 200 characters outside ASCII and values of 2 KiB. Cause: only lists could be moved out of a head; and sizes were those of the JSON that is sent, while a store may keep a form of its own, in which a character outside ASCII takes up to twelve bytes. Change: the names that users choose freely, image and class, are stored in parts, in pieces, if a head only fits without them; a specification that fits in no way is refused with 400 and the reason. Sizes are those of the longest usual form of JSON. Versions from 0.3.0 to 0.7.1 read a placeholder for such a name: it decides neither where a task may run nor for which team it counts.

--- a/dappledrum/controller/catalog.py
+++ b/dappledrum/controller/catalog.py
@@ -12,6 +12,7 @@
 from dappledrum.store.errors import StoreError
 from dappledrum.store.messages import Guard, Put, encode_value
 from dappledrum.store.rate_limiter import RequestPriority
+from dappledrum.store.value_size import value_size
 from dappledrum.timing.fault_log import FaultLog
 from dappledrum.user_api.job_api import JobApi
 
@@ -74,7 +75,7 @@
             self.catalog_fault.failed(f"no catalog: {error}")
             return []
         value = encode_value(Catalog(types))
-        if types and len(value) < self.max_value_bytes:
+        if types and value_size(bytes(value)) <= self.max_value_bytes:
             try:
                 await self.store.commit(
                     [Guard(CATALOG, 0)], [Put(CATALOG, value)], RequestPriority.SUBMISSION
--- a/dappledrum/jobs/cancelled_head.py
+++ b/dappledrum/jobs/cancelled_head.py
@@ -14,6 +14,7 @@
 from dappledrum.jobs.messages import JobRecord, MachineRow, PageRecord, SpecPart, TaskFigures
 from dappledrum.jobs.value_parts import is_long, split_spec, spread_rows
 from dappledrum.store.messages import Put, encode_value
+from dappledrum.store.value_size import encoded_size
 
 
 def cancelled_head(record: JobRecord, max_bytes: int, max_part_bytes: int) -> list[Put]:
@@ -24,7 +25,7 @@
     """
     job = record.spec.id
     cancelled = msgspec.structs.replace(record, cancelled=True)
-    if len(msgspec.json.encode(cancelled)) <= max_bytes:
+    if encoded_size(cancelled) <= max_bytes:
         return [Put(head_key(job), encode_value(cancelled))]
     cancelled, spec_parts = _with_short_spec(cancelled, max_part_bytes)
     stored = cancelled
--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -178,10 +178,13 @@
 
 
 class SpecPart(msgspec.Struct, omit_defaults=True):
-    """Value of `spec/<id>/<n>`: list items of a specification that is too long for the head."""
+    """Value of `spec/<id>/<n>`: list items of a specification that is too long for the head, or
+    a piece of a name."""
 
     types: list[str] = []
     needs: list[str] = []
+    image: str = ""  # unknown to versions up to 0.7.1, which would take the head's placeholder
+    job_class: str = ""
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True, rename={"released_ms": "begun_ms"}):
@@ -197,7 +200,7 @@
     # When all its dependencies were done. Versions up to 0.2.0 drop it when they rewrite a record,
     # but only jobs with dependencies have it, which are accepted once no such version is running.
     released_ms: int | None = None
-    spec_parts: int = 0  # number of additional values that hold the specification's lists
+    spec_parts: int = 0  # number of additional values that hold lists and names of it
 
 
 class EndedRecord(msgspec.Struct, omit_defaults=True):
--- a/dappledrum/jobs/page_encoding.py
+++ b/dappledrum/jobs/page_encoding.py
@@ -19,18 +19,19 @@
 )
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.placement import Placement
-from dappledrum.jobs.value_parts import spread_rows
+from dappledrum.jobs.value_parts import (
+    CANCELLATION_BYTES,
+    HEAD_OVERHEAD_BYTES,
+    MAX_TASKS_PER_PAGE,
+    spread_rows,
+)
 from dappledrum.store.messages import Delete, Put
+from dappledrum.store.value_size import encoded_size, value_size
 
-MAX_TASKS_PER_PAGE = 256
 MIN_TASKS_PER_PAGE = 8
 TYPICAL_ROW_BYTES = 30  # row of a machine with one task
-HEAD_OVERHEAD_BYTES = 220  # head without its specification, bitmap and rows
 ROW_OVERHEAD_BYTES = 12  # row without the name, the session and the tasks
 ZONE_OVERHEAD_BYTES = 3  # quotes and a comma
-#: What a controller of any version may add to a head when it marks the job as cancelled: the mark
-#: itself, and default values that versions up to 0.2.0 write out.
-CANCELLATION_BYTES = 80
 
 
 def page_size(spec: Spec, value_bytes: int) -> int:
@@ -39,7 +40,7 @@
     The page still fits into the head, beside the specification, when each task is on a different
     machine, so that no task has to wait for capacity in a record.
     """
-    capacity = value_bytes - len(msgspec.json.encode(spec)) - HEAD_OVERHEAD_BYTES
+    capacity = value_bytes - encoded_size(spec) - HEAD_OVERHEAD_BYTES
     fitting = capacity * 4 // (TYPICAL_ROW_BYTES * 4 + 1)
     return min(MAX_TASKS_PER_PAGE, max(MIN_TASKS_PER_PAGE, fitting))
 
@@ -103,7 +104,7 @@
     parts: list[RowsRecord] = []
     max_split_bytes = max_part_bytes - reserved_bytes(page)
     # A head of at most `max_bytes` stays whole while not every controller can read parts.
-    if len(value) > (max_split_bytes if max_bytes == max_part_bytes else max_bytes):
+    if value_size(value) > (max_split_bytes if max_bytes == max_part_bytes else max_bytes):
         if page.index == 0:
             page.job.stored_spec.split(max_part_bytes)
         record, parts = spread_rows(
--- a/dappledrum/jobs/record_batch.py
+++ b/dappledrum/jobs/record_batch.py
@@ -12,6 +12,7 @@
 from dappledrum.store.hedged_commit import Evidence
 from dappledrum.store.messages import Delete, Guard, Put, encode_value
 from dappledrum.store.value_limit import ValueLimit
+from dappledrum.store.value_size import value_size
 
 ENDED_JOB_BYTES = 600  # upper bound for the changes that end a job
 
@@ -123,7 +124,7 @@
         page,
         page.revision,
         max(parts, page.parts - removed),
-        len(bytes(page_put.value)),
+        value_size(bytes(page_put.value)),
         page.job.cancelled,
     )
 
--- a/dappledrum/jobs/staged_write.py
+++ b/dappledrum/jobs/staged_write.py
@@ -10,6 +10,7 @@
 
 from dappledrum.store.client import MAX_TRANSACTION_BYTES
 from dappledrum.store.messages import Delete, Guard, Put
+from dappledrum.store.value_size import value_size
 
 CHANGE_OVERHEAD_BYTES = 400  # upper bound for a change without its value
 
@@ -24,7 +25,7 @@
 
 def change_bytes(change: Put | Delete) -> int:
     """Upper bound for the bytes that a change takes in a transaction."""
-    value_bytes = len(bytes(change.value)) if isinstance(change, Put) else 0
+    value_bytes = value_size(bytes(change.value)) if isinstance(change, Put) else 0
     return value_bytes + CHANGE_OVERHEAD_BYTES
 
 
--- a/dappledrum/jobs/stored_spec.py
+++ b/dappledrum/jobs/stored_spec.py
@@ -8,6 +8,7 @@
 from dappledrum.jobs.messages import JobRecord, Spec, SpecPart
 from dappledrum.jobs.value_parts import is_long, join_spec, split_spec
 from dappledrum.store.messages import Delete, Put
+from dappledrum.store.value_size import encoded_size
 
 
 class StoredSpec:
@@ -17,20 +18,19 @@
         """Create it from the head and from the parts that the head counts."""
         self.complete: Spec = join_spec(record.spec, parts)
         self.in_head = record.spec  # without what is in parts
-        self.head_bytes = len(msgspec.json.encode(self.in_head))
+        self.head_bytes = encoded_size(self.in_head)
         self.part_count = len(parts)  # to be counted by the head when it is written next
         self.unstored_parts: list[SpecPart] = []  # to be written with the head
         self.existing_parts = len(parts)  # that may exist
 
     def split(self, max_part_bytes: int) -> None:
-        """Move the lists of a long specification from the head into parts."""
-        if self.part_count or not is_long(self.in_head, max_part_bytes):
-            return
-        self._set_head(*split_spec(self.complete, max_part_bytes))
+        """Move the lists and names of a long specification from the head into parts."""
+        if is_long(self.in_head, max_part_bytes):
+            self._set_head(*split_spec(self.in_head, max_part_bytes))
 
     def _set_head(self, in_head: Spec, new_parts: list[SpecPart]) -> None:
         self.in_head = in_head
-        self.head_bytes = len(msgspec.json.encode(in_head))
+        self.head_bytes = encoded_size(in_head)
         self.unstored_parts += new_parts
         self.part_count += len(new_parts)
 
--- a/dappledrum/leader/job_loader.py
+++ b/dappledrum/leader/job_loader.py
@@ -15,6 +15,7 @@
 from dappledrum.store.client import StoreClient
 from dappledrum.store.messages import Entry
 from dappledrum.store.rate_limiter import RequestPriority
+from dappledrum.store.value_size import value_size
 
 log = logging.getLogger(__name__)
 
@@ -79,7 +80,7 @@
             job = self.make_job(record, entry.version, counted)
             if job is not None:
                 job.stored_spec.existing_parts = max(spec_parts, default=-1) + 1
-                job.page(0).stored_bytes = len(bytes(entry.value))
+                job.page(0).stored_bytes = value_size(bytes(entry.value))
                 self.jobs[job_id] = job
 
     def _add_pages(self, entries: Iterable[Entry]) -> None:
@@ -97,7 +98,7 @@
                 except INVALID_VALUE_ERRORS as error:
                     self._quarantine(job_id, error)
                     continue
-                job.page(int(index)).stored_bytes = len(bytes(entry.value))
+                job.page(int(index)).stored_bytes = value_size(bytes(entry.value))
 
     def _add_rows(self, entries: Iterable[Entry]) -> None:
         leftover_parts: dict[Page, int] = {}
--- a/dappledrum/store/advisory_record.py
+++ b/dappledrum/store/advisory_record.py
@@ -15,6 +15,7 @@
 from dappledrum.store.errors import StoreError
 from dappledrum.store.messages import Guard, Put, encode_value
 from dappledrum.store.rate_limiter import RequestPriority
+from dappledrum.store.value_size import value_size
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +47,7 @@
         if record == self.last_written:
             return
         value = encode_value(record)
-        size = len(bytes(value))
+        size = value_size(bytes(value))
         if size > self.max_bytes:
             log.warning(
                 "advisory record %s not written: size=%d max=%d", self.key, size, self.max_bytes
--- a/dappledrum/user_api/canceller.py
+++ b/dappledrum/user_api/canceller.py
@@ -16,6 +16,7 @@
 from dappledrum.store.messages import Guard, Put
 from dappledrum.store.rate_limiter import RequestPriority
 from dappledrum.store.value_limit import ValueLimit
+from dappledrum.store.value_size import value_size
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +59,7 @@
             except ConflictError:
                 continue
             except TooLargeError as error:
-                size = len(bytes(changes[0].value))
+                size = value_size(bytes(changes[0].value))
                 if not self.value_limit.record_refusal(size, str(error)):
                     raise
         raise StoreError("its record was changed at each attempt")
--- a/dappledrum/user_api/job_api.py
+++ b/dappledrum/user_api/job_api.py
@@ -32,7 +32,7 @@
 )
 from dappledrum.jobs.page_encoding import page_size
 from dappledrum.jobs.stored_job import LiveRecord, StoredJob
-from dappledrum.jobs.value_parts import LONG_SPEC_DIVISOR, split_spec
+from dappledrum.jobs.value_parts import fits, is_long, split_spec
 from dappledrum.settings import Params
 from dappledrum.store.client import StoreClient
 from dappledrum.store.errors import (
@@ -44,6 +44,7 @@
 from dappledrum.store.messages import Put, encode_value
 from dappledrum.store.rate_limiter import RequestPriority
 from dappledrum.store.value_limit import ValueLimit
+from dappledrum.store.value_size import encoded_size, value_size
 from dappledrum.timing.clock import Clock
 from dappledrum.user_api.canceller import Canceller
 from dappledrum.user_api.feasibility import infeasibility
@@ -125,6 +126,9 @@
                 return self._status_response(spec.id, found, HTTPStatus.OK)
         if self.submission_batcher.is_full():
             return busy()
+        if not fits(spec, self.value_limit.reduced_bytes):
+            rejection = refusal(HTTPStatus.BAD_REQUEST, "names too long for a record")
+            return await self._reject_unless_accepted(spec.id, rejection)
         puts = self._new_job_writes(spec)
         if len(puts) > self.params.state.txn_ops:
             rejection = refusal(HTTPStatus.BAD_REQUEST, "waits for too many jobs")
@@ -138,7 +142,9 @@
         try:
             stored = await self.submission_batcher.admit(spec.id, puts)
         except TooLargeError as error:
-            self.value_limit.record_refusal(max(len(bytes(put.value)) for put in puts), str(error))
+            self.value_limit.record_refusal(
+                max(value_size(bytes(put.value)) for put in puts), str(error)
+            )
             return busy()
         except ConflictError:
             found = await self.find(spec.id, RequestPriority.SUBMISSION)
@@ -193,7 +199,7 @@
         parts: list[SpecPart] = []
         # Jobs with dependencies are submitted only once every controller can read parts.
         may_split = self.value_limit.is_reduced or spec.needs
-        if may_split and len(msgspec.json.encode(spec)) > max_part_bytes // LONG_SPEC_DIVISOR:
+        if may_split and is_long(spec, max_part_bytes):
             stored, parts = split_spec(spec, max_part_bytes)
         at_ms = round(self.clock.utc_now().timestamp() * 1000)
         record = JobRecord(
@@ -208,7 +214,7 @@
         """Return why a specification does not fit into a record beside the progress, or None."""
         if (
             spec.types is not None
-            and len(msgspec.json.encode(msgspec.structs.replace(spec, needs=None)))
+            and encoded_size(msgspec.structs.replace(spec, needs=None))
             > self.value_limit.current_bytes // 4  # the same before and after the limits drop
         ):
             return "list of machine types too long"
