Advisory records with long names are shortened until they fit

Callers would see: after a failover machines are rented twice, and starts are planned with the owners' estimates, if the names of classes or machines are long. Cause: the records of learned estimates and of booting machines assumed names of usual length, and one that came out too large for the store was not written at all, until the names were gone. Change: the rows that matter least are left out until the record fits, by its encoded size.

--- a/dappledrum/fleet/fleet_facts.py
+++ b/dappledrum/fleet/fleet_facts.py
@@ -10,6 +10,7 @@
 from dappledrum.fleet.messages import BootingRecord, FleetRecord
 from dappledrum.scheduling.timeline import InstanceKind
 from dappledrum.store.advisory_record import AdvisoryRecord
+from dappledrum.store.value_size import encoded_size
 from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.workers.machine_registry import MachineRegistry
 
@@ -55,6 +56,8 @@
         rows = [BootingRecord(names, *kind, at) for (kind, at), names in groups.items()]
         while sum(len(row.names) for row in rows) > self.max_machines:
             rows.pop(0)
+        while rows and encoded_size(FleetRecord(rows)) > self.advisory_record.max_bytes:
+            rows.pop(0)  # long names
         return FleetRecord(rows)
 
     async def run(self) -> None:
--- a/dappledrum/learning/learned_estimates.py
+++ b/dappledrum/learning/learned_estimates.py
@@ -15,6 +15,7 @@
 from dappledrum.scheduling.estimates import Estimates, RunningStatistics
 from dappledrum.scheduling.timeline import InstanceKind
 from dappledrum.store.advisory_record import AdvisoryRecord
+from dappledrum.store.value_size import encoded_size
 from dappledrum.timing.clock import ZERO, Clock
 
 log = logging.getLogger(__name__)
@@ -23,7 +24,7 @@
 MAX_BOOT_AGE = timedelta(minutes=5)  # older boots no longer predict new ones
 MAX_CLASSES = 50
 MAX_BOOTS = 24
-MAX_ROW_BYTES = 100  # upper bound for the stored size of a row
+MAX_ROW_BYTES = 100  # of a row with a name of usual length
 
 
 class LearnedEstimates:
@@ -58,6 +59,9 @@
             for boot in list(self.boots.completed)[-min(MAX_BOOTS, capacity // 2) :]
             if now - boot.up_at < MAX_BOOT_AGE
         ]
+        max_bytes = self.advisory_record.max_bytes
+        while rows and encoded_size(LearnedRecord(rows, boots)) > max_bytes:
+            rows.pop()  # the class with the fewest values; its name or another one is long
         return LearnedRecord(sorted(rows, key=lambda row: row.job_class), boots)
 
     async def run(self) -> None:
--- a/dappledrum/learning/test_learning.py
+++ b/dappledrum/learning/test_learning.py
@@ -10,6 +10,7 @@
 from dappledrum.scheduling.timeline import InstanceKind
 from dappledrum.simulation.cluster import SimulatedCluster, job
 from dappledrum.simulation.virtual_time import run
+from dappledrum.store.value_size import encoded_size
 from dappledrum.timing.clock import seconds
 
 
@@ -81,3 +82,17 @@
         await cluster.finish(["j-000009"])
 
     run(main())
+
+
+async def test_classes_with_long_names_keep_no_other_from_being_recorded():
+    """Guards against a record that is too large for the store, and never written, as users chose
+    long names for classes."""
+    cluster = SimulatedCluster(seed=1, members=("drummer-0",))
+    clock, estimates = cluster.controllers["drummer-0"].clock, Estimates()
+    for number in range(30):
+        name = f"{number:02d}" + "ö" * 198 * (number % 3 == 0)
+        for _ in range(1 + number):
+            estimates.record_task_time("j-1", name, seconds(10), seconds(12))
+    record = LearnedEstimates(InMemoryRecord(), estimates, BootTimes(), clock).record()
+    assert encoded_size(record) <= InMemoryRecord.max_bytes
+    assert "29" in [row.job_class for row in record.classes]
