--- a/dappledrum/jobs/test_cancelled_head.py
+++ b/dappledrum/jobs/test_cancelled_head.py
@@ -14,7 +14,7 @@
 from dappledrum.model.stored_heads import JOB, contents, heads, old_fields
 
 CURRENT_BYTES = 8 * 1024
-short = settings(max_examples=100, derandomize=True, deadline=None)
+short = settings(max_examples=150, derandomize=True, deadline=None)
 reduced_limits = st.just(2 * 1024) | st.integers(2 * 1024, CURRENT_BYTES)
 
 
--- a/dappledrum/user_api/test_canceller.py
+++ b/dappledrum/user_api/test_canceller.py
@@ -131,7 +131,7 @@
     return statuses
 
 
-@settings(max_examples=60, derandomize=True, deadline=None)
+@settings(max_examples=120, derandomize=True, deadline=None)
 @given(heads(int(CURRENT_KB * 1024)), limits, faults)
 def test_a_cancellation_is_answered_and_loses_nothing(record, store_limits, drawn_faults):
     """Invariant: a live job can be cancelled at any controller, whatever its head looks like and
