Name the exceptions in the head comment of value_parts

Cause: it said that parts are always written and deleted with their record, which is no longer so. Change: the comment only.

--- a/dappledrum/jobs/value_parts.py
+++ b/dappledrum/jobs/value_parts.py
@@ -1,7 +1,9 @@
 """Splits records that do not fit into one value into parts.
 
 Parts are written and deleted in the same transaction as the record that they belong to, so their
-versions need no guards. Only the parts of a finished job are left to garbage collection.
+versions need no guards. There are three exceptions: new parts of a cancelled head that exceed one
+transaction (see `staged_write`), surplus parts, whose removal may wait for later writes, and parts
+of a finished job, which are left to garbage collection.
 """
 
 from collections.abc import Callable, Iterator, Sequence
