A leader writes pages of more values than a transaction changes step by step

Cause: the leader wrote a page and all its parts in one transaction, also parts that said the same as before, so the store refused a page of more parts than one transaction may change, every 5 s, until enough of its tasks had ended. Change: PagePartsWriter writes such a page.

--- a/dappledrum/jobs/messages.py
+++ b/dappledrum/jobs/messages.py
@@ -148,6 +148,15 @@
             yield TaskFigures(*self.figures[start : start + FIGURES_PER_TASK])
 
 
+class TaskRow(NamedTuple):
+    """A stored placement: the figures of the task, and its machine."""
+
+    machine: str
+    session: int
+    zone: str
+    figures: TaskFigures
+
+
 #: Row of a machine in records of versions up to 0.1.0: name, session, zone, figures of each task.
 LegacyRow = tuple[str, int, str, list[tuple[int, int, int]]]
 
--- a/dappledrum/jobs/page_encoding.py
+++ b/dappledrum/jobs/page_encoding.py
@@ -4,6 +4,7 @@
 by machine, and the common prefix of the machine names is stored once.
 """
 
+from collections.abc import Iterable, Iterator
 from datetime import datetime, timedelta
 from os.path import commonprefix
 
@@ -16,6 +17,7 @@
     RowsRecord,
     Spec,
     TaskFigures,
+    TaskRow,
 )
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.placement import Placement
@@ -73,24 +75,44 @@
     return CANCELLATION_BYTES if page.index == 0 and not page.job.cancelled else 0
 
 
-def page_record(page: Page) -> PageRecord:
-    """The stored form of a page as a single record."""
+def task_rows(page: Page) -> dict[int, TaskRow]:
+    """The stored form of the page's placements, by the offset of their task."""
+    rows = [
+        TaskRow(
+            placement.machine,
+            placement.session,
+            placement.zone,
+            TaskFigures(
+                placement.task - page.first,
+                placement.attempt,
+                _seconds_since_acceptance(page, placement.placed_at),
+            ),
+        )
+        for placement in page.placements.values()
+    ]
+    return {row.figures.offset: row for row in rows}
+
+
+def rows_record(task_rows: Iterable[TaskRow]) -> RowsRecord:
+    """The rows as one record, grouped by machine."""
     zones: dict[str, int] = {}
     grouped: dict[tuple[str, int, int], list[int]] = {}
-    for placement in page.placements.values():
-        zone = zones.setdefault(placement.zone, len(zones))
-        figures = grouped.setdefault((placement.machine, placement.session, zone), [])
-        figures += TaskFigures(
-            placement.task - page.first,
-            placement.attempt,
-            _seconds_since_acceptance(page, placement.placed_at),
-        )
+    for machine, session, zone_name, task_figures in task_rows:
+        zone = zones.setdefault(zone_name, len(zones))
+        figures = grouped.setdefault((machine, session, zone), [])
+        figures += task_figures
     prefix = _common_prefix([machine for machine, _, _ in grouped])
     rows = [
         MachineRow(machine[len(prefix) :], session, zone, figures)
         for (machine, session, zone), figures in grouped.items()
     ]
-    return PageRecord(page.attempt, f"{page.done:x}", [], prefix, list(zones), rows)
+    return RowsRecord(prefix, list(zones), rows)
+
+
+def page_record(page: Page) -> PageRecord:
+    """The stored form of a page as a single record."""
+    prefix, zones, rows = msgspec.structs.astuple(rows_record(task_rows(page).values()))
+    return PageRecord(page.attempt, f"{page.done:x}", [], prefix, zones, rows)
 
 
 def page_changes(page: Page, max_bytes: int, max_part_bytes: int) -> list[Put | Delete]:
@@ -100,7 +122,7 @@
     of at most `max_part_bytes`. In a head that is split, room is left for a cancellation.
     """
     record = page_record(page)
-    value = _encoded(page, record)
+    value = encode_page(page, record)
     parts: list[RowsRecord] = []
     max_split_bytes = max_part_bytes - reserved_bytes(page)
     # A head of at most `max_bytes` stays whole while not every controller can read parts.
@@ -108,9 +130,9 @@
         if page.index == 0:
             page.job.stored_spec.split(max_part_bytes)
         record, parts = spread_rows(
-            record, lambda form: _encoded(page, form), max_split_bytes, max_part_bytes
+            record, lambda form: encode_page(page, form), max_split_bytes, max_part_bytes
         )
-        value = _encoded(page, record)
+        value = encode_page(page, record)
     changes: list[Put | Delete] = [Put(page.key, msgspec.Raw(value))]
     if page.index == 0:
         changes += page.job.stored_spec.changes()
@@ -142,10 +164,16 @@
 
 def load_rows(page: Page, record: PageRecord | RowsRecord) -> None:
     """Restore the placements in the rows of a page's own value or of an additional one."""
+    for machine, session, zone, figures in task_rows_of(record):
+        _restore(page, machine, session, zone, figures)
+
+
+def task_rows_of(record: PageRecord | RowsRecord) -> Iterator[TaskRow]:
+    """The placements in the rows of a record."""
     for row in record.rows:
         machine, zone = record.prefix + row.machine_suffix, record.zones[row.zone_index]
         for figures in row.tasks():
-            _restore(page, machine, row.session, zone, figures)
+            yield TaskRow(machine, row.session, zone, figures)
 
 
 def _restore(page: Page, machine: str, session: int, zone: str, figures: TaskFigures) -> None:
@@ -154,7 +182,8 @@
     page.restore(Placement(page, task, figures.attempt, machine, session, zone, placed_at))
 
 
-def _encoded(page: Page, record: PageRecord) -> bytes:
+def encode_page(page: Page, record: PageRecord) -> bytes:
+    """The page's own value; that of the first page is the job's head."""
     return msgspec.json.encode(page.job.head_record(record) if page.index == 0 else record)
 
 
--- a/dappledrum/jobs/record_batch.py
+++ b/dappledrum/jobs/record_batch.py
@@ -38,6 +38,7 @@
         self.evidence: list[Evidence] = []
         self.pages: list[WrittenPage] = []
         self.ended: list[Job] = []
+        self.oversized: list[Page] = []  # that exceed a transaction by themselves
         self._bytes = 0
 
     def add_ended(self, job: Job) -> None:
@@ -52,11 +53,17 @@
             self.evidence.append(Evidence(final.key, 0, final.value))
 
     def add_page(self, page: Page) -> bool:
-        """Add a page; returns False if the transaction has no capacity left for it."""
+        """Add a page; returns False if the transaction has no capacity left for it.
+
+        A page that exceeds any transaction is only added to `oversized`.
+        """
         changes = page_changes(
             page, self.value_limit.max_whole_bytes, self.value_limit.reduced_bytes
         )
         changes = _with_fewer_removals(changes, self.limits.txn_ops)
+        if len(changes) > self.limits.txn_ops:
+            self.oversized.append(page)
+            return True
         size = sum(map(change_bytes, changes))
         too_many = len(self.changes) + len(changes) > self.limits.txn_ops
         if self.changes and (too_many or self._bytes + size > MAX_TRANSACTION_BYTES):
--- a/dappledrum/jobs/record_writer.py
+++ b/dappledrum/jobs/record_writer.py
@@ -22,6 +22,7 @@
 from dappledrum.jobs.messages import EndedRecord, JobRecord, Outcome
 from dappledrum.jobs.page import Page
 from dappledrum.jobs.page_encoding import reserved_bytes
+from dappledrum.jobs.page_parts_writer import PagePartsWriter
 from dappledrum.jobs.record_batch import RecordBatch
 from dappledrum.jobs.term_committer import TermCommitter
 from dappledrum.settings import StoreLimits
@@ -71,6 +72,7 @@
         #: Pages and ends of jobs that the store has refused alone, and when they are tried again.
         self.refused: dict[Page | Job, timedelta] = {}
         self.committer = TermCommitter(store, term, clock)
+        self.page_parts_writer = PagePartsWriter(store, self.committer, limits, value_limit)
         self.garbage: OrderedDict[str, None] = OrderedDict()  # keys to be removed
         self.garbage_collector = GarbageCollector(self.committer, self.garbage)
         self.shrunk = False
@@ -251,8 +253,15 @@
         return max(4, min(self.limits.txn_ops, allowed))
 
     async def _write(self, selection: "_Selection") -> None:
-        """Write as much of a selection as fits into one transaction."""
+        """Write as much of a selection as fits into one transaction, and after it pages that
+        exceed one by themselves."""
         batch = self._batch(selection)
+        if batch.changes:
+            await self._write_batch(batch)
+        for page in batch.oversized:
+            await self._write_oversized(page)
+
+    async def _write_batch(self, batch: RecordBatch) -> None:
         try:
             revision = await self.committer.commit(batch.guards, batch.changes, batch.evidence)
         except ConflictError as error:
@@ -268,14 +277,35 @@
             raise
         batch.mark_stored(revision)
         for written in batch.pages:
-            self.dirty.pop(written.page, None)
-            self.refused.pop(written.page, None)
-            if written.page.dirty:
-                self.dirty[written.page] = self.clock.now()
+            self._update_dirty(written.page)
         for job in batch.ended:
             self._finish(job)
         await self._notify_stored()
 
+    async def _write_oversized(self, page: Page) -> None:
+        """Write a page that exceeds a transaction by itself."""
+        try:
+            await self.page_parts_writer.write(page)
+        except TooLargeError as error:
+            self._postpone(page, page, error)
+            return
+        except ConflictError:
+            return
+        self._update_dirty(page)
+        await self._notify_stored()
+
+    def _update_dirty(self, page: Page) -> None:
+        """Note that a page was written; it stays dirty if it has changed since."""
+        self.dirty.pop(page, None)
+        self.refused.pop(page, None)
+        if page.dirty:
+            self.dirty[page] = self.clock.now()
+
+    def _postpone(self, refused: Page | Job, page: Page, error: TooLargeError) -> None:
+        """Try what the store refuses again later; `page` is the one at fault."""
+        log.error("%s is not stored, the store refuses it: %s", page.key, error)
+        self.refused[refused] = self.clock.now() + REFUSED_RETRY_INTERVAL
+
     async def _write_separately(self, batch: RecordBatch, error: TooLargeError) -> None:
         """Write the records of a refused batch one by one, so that the one that is too large
         keeps no other from being stored."""
@@ -286,9 +316,7 @@
                 await self._write(_Selection.of(jobs=[job]))
             return
         [page] = batch.guarded_pages()
-        log.error("%s is not stored, the store refuses it: %s", page.key, error)
-        refused = page.job if batch.ended else page
-        self.refused[refused] = self.clock.now() + REFUSED_RETRY_INTERVAL
+        self._postpone(page.job if batch.ended else page, page, error)
 
     def _batch(self, selection: "_Selection") -> RecordBatch:
         """The part of a selection that fits into one transaction."""
--- a/dappledrum/jobs/test_late_record_writes.py
+++ b/dappledrum/jobs/test_late_record_writes.py
@@ -36,6 +36,8 @@
 limits = st.sampled_from([(1.0, 16), (2.0, 8), (3.0, 6), (8.0, 4)]).map(
     lambda pair: limits_of(*pair)
 )
+#: A head of the old size takes more values than one transaction changes.
+tight_limits = st.sampled_from([(1.0, 4), (1.0, 6), (2.0, 3)]).map(lambda pair: limits_of(*pair))
 #: After how many further transactions one without an answer is executed; None: at once.
 delays = st.lists(st.none() | st.integers(1, 4), max_size=8)
 #: By task: it is taken from its machine and completes, or is placed on another one.
@@ -121,6 +123,15 @@
     check_stored(*run(write_as_leader(record, store_limits, drawn_delays, drawn_changes)))
 
 
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(heads(OLD_BYTES), tight_limits, delays, changes)
+def test_a_leader_stores_a_large_head_step_by_step_whatever_was_executed_late(
+    record, store_limits, drawn_delays, drawn_changes
+):
+    """The same if the head and its parts take several transactions."""
+    check_stored(*run(write_as_leader(record, store_limits, drawn_delays, drawn_changes)))
+
+
 async def test_a_leader_stores_a_head_of_more_parts_than_a_transaction_changes():
     """Guards against a job whose progress is not stored any more: a head of an earlier version
     needs more parts than one transaction may change."""
