--- a/dappledrum/user_api/poll_batcher.py
+++ b/dappledrum/user_api/poll_batcher.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Container, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -154,8 +154,21 @@
             missing -= result.keys()
         single_reads = await asyncio.gather(*(self._read_single(find, job) for job in missing))
         result.update(zip(missing, single_reads, strict=True))
+        self._log_evidence(result, unchanged.keys())
         return result
 
+    def _log_evidence(
+        self, states: Mapping[str, PollAnswer | StoreError], unchanged: Container[str]
+    ) -> None:
+        """Log on which record each state of a live job rests."""
+        if not log.isEnabledFor(logging.DEBUG):
+            return
+        for job, state in states.items():
+            if isinstance(state, LiveStatus) and job in self.cached:
+                evidence = "its version is unchanged" if job in unchanged else "read"
+                version = self.cached[job][1]
+                log.debug("state of live %s: %s, %s, version=%d", job, state, evidence, version)
+
     async def _unchanged_states(self, jobs: set[str]) -> dict[str, LiveStatus]:
         """Return the cached states of those cached jobs that have not changed since."""
         if len(jobs) < 2:
