Answers about waiting jobs rest on all records that could make them wrong

Cause: whether a waiting job is cancelled is a fact about several records. Answers were taken from the job's own head, which only the leader changes, and it can't while the store is out. Change: polls and answers to repeated submissions read, after the request has arrived, the head of each job before a waiting one, or its final state (DependencyCheck, FreshStates, JobReader). What is known to be cancelled stays so and needs no read; where nothing sure is known, 503. No leader, no write and no memory is needed, so why this holds does not depend on who restarts when. JobApi leaves its reads to JobReader.

--- a/dappledrum/store/client.py
+++ b/dappledrum/store/client.py
@@ -82,16 +82,28 @@
         watch_from: int | None = None
         after = ""
         while True:
-            page = await self._scan_page(prefix, after, priority)
+            page = await self._read_page(prefix, after, SCAN_PAGE_SIZE, priority)
             entries += page.entries
             watch_from = page.revision if watch_from is None else watch_from
             if not page.more or not page.entries:
                 return entries, watch_from
             after = page.entries[-1].key
 
-    async def _scan_page(self, prefix: str, after: str, priority: RequestPriority) -> Listing:
+    async def page(
+        self, prefix: str, after: str, size: int, priority: RequestPriority
+    ) -> tuple[list[Entry], bool]:
+        """Read up to `size` keys with a prefix, in their order, that come after `after`.
+
+        Returns the entries and whether there are more keys.
+        """
+        page = await self._read_page(prefix, after, size, priority)
+        return page.entries, page.more
+
+    async def _read_page(
+        self, prefix: str, after: str, size: int, priority: RequestPriority
+    ) -> Listing:
         start = f"&from={after}" if after else ""
-        path = f"/keys?prefix={prefix}{start}&page={SCAN_PAGE_SIZE}"
+        path = f"/keys?prefix={prefix}{start}&page={size}"
         request = StoreRequest("GET", path, None, priority, SCAN_PAGE_TIMEOUT)
         reply = await self.transport.send(request)
         if reply.status != HTTPStatus.OK:
--- a/dappledrum/user_api/job_api.py
+++ b/dappledrum/user_api/job_api.py
@@ -6,10 +6,7 @@
 """
 
 import logging
-from collections import OrderedDict
-from datetime import timedelta
 from http import HTTPStatus
-from typing import TypeVar
 
 import msgspec
 
@@ -18,7 +15,7 @@
 from dappledrum.election.confirmed_cancellations import ConfirmedCancellations
 from dappledrum.fleet.messages import MachineType
 from dappledrum.http.messages import Response
-from dappledrum.jobs.keys import ended_key, head_key, spec_key
+from dappledrum.jobs.keys import head_key, spec_key
 from dappledrum.jobs.messages import (
     EndedRecord,
     Form,
@@ -31,16 +28,11 @@
     SubmissionId,
 )
 from dappledrum.jobs.page_encoding import page_size
-from dappledrum.jobs.stored_job import LiveRecord, StoredJob
+from dappledrum.jobs.stored_job import StoredJob
 from dappledrum.jobs.value_parts import fits, is_long, split_spec
 from dappledrum.settings import Params
 from dappledrum.store.client import StoreClient
-from dappledrum.store.errors import (
-    ConflictError,
-    RateLimitedError,
-    StoreError,
-    TooLargeError,
-)
+from dappledrum.store.errors import ConflictError, StoreError, TooLargeError
 from dappledrum.store.messages import Put, encode_value
 from dappledrum.store.rate_limiter import RequestPriority
 from dappledrum.store.value_limit import ValueLimit
@@ -48,16 +40,15 @@
 from dappledrum.timing.clock import Clock
 from dappledrum.user_api.canceller import Canceller
 from dappledrum.user_api.feasibility import infeasibility
-from dappledrum.user_api.poll_batcher import LiveStatus, PollBatcher, live_status
+from dappledrum.user_api.job_heads import HeadCache, LiveStatus, job_head
+from dappledrum.user_api.job_reader import JobReader
+from dappledrum.user_api.poll_batcher import PollBatcher
 from dappledrum.user_api.responses import answer, busy, refusal
 from dappledrum.user_api.submission_batcher import SubmissionBatcher
 
 log = logging.getLogger(__name__)
 
-READ_TIMEOUT = timedelta(seconds=1)
-MAX_CACHED_ENDED_JOBS = 20_000
-
-T = TypeVar("T")
+GUARDS_PER_CHANGE = 4  # of the changes that the store allows in one transaction (PROTOCOL)
 
 
 class JobApi:
@@ -78,24 +69,22 @@
         # Whether all controllers support gangs: a leader older than 0.4.0 can't read the record of
         # a gang, and would manage no job at all because of it.
         self.gangs_supported = False
-        self.ended: OrderedDict[str, EndedRecord] = OrderedDict()
+        self.reader = JobReader(store)
+        self.heads = HeadCache()
         self.confirmed = ConfirmedCancellations(clock.now())
-        self.submission_batcher = SubmissionBatcher(store, params.state.txn_ops, self.find)
-        self.poll_batcher = PollBatcher(
-            store, params.state.txn_ops * 4, self.find, self._find_many, self._find_ended
-        )
+        self.submission_batcher = SubmissionBatcher(store, params.state.txn_ops, self.reader.find)
+        max_guards = params.state.txn_ops * GUARDS_PER_CHANGE
+        self.poll_batcher = PollBatcher(self.reader, self.heads, max_guards)
         self.canceller = Canceller(
-            store, params.state.txn_ops, self.value_limit, self._find_cached
+            store, params.state.txn_ops, self.value_limit, self.reader.find_cached
         )
         self.lookup = DependencyLookup(
-            store, params.state.txn_ops * 4, self._read_live, self._find_many
+            store, max_guards, self.reader.read_live, self.reader.find_many
         )
 
     def cache_ended(self, job: str, record: EndedRecord) -> None:
         """Cache a final state; it never changes again."""
-        self.ended[job] = record
-        while len(self.ended) > MAX_CACHED_ENDED_JOBS:
-            self.ended.popitem(last=False)
+        self.reader.cache_ended(job, record)
 
     async def submit(self, body: bytes) -> Response:
         """Serve POST /submissions."""
@@ -106,8 +95,8 @@
         if spec.needs is not None:
             needs = list(dict.fromkeys(spec.needs)) or None
             spec = msgspec.structs.replace(spec, needs=needs)
-        if spec.id in self.ended:
-            return self._status_response(spec.id, self.ended[spec.id], HTTPStatus.OK)
+        if spec.id in self.reader.ended:
+            return self._status_response(spec.id, self.reader.ended[spec.id], HTTPStatus.OK)
         try:
             return await self._submit(spec)
         except StoreError as error:
@@ -118,7 +107,7 @@
         rejection = await self._find_rejection(spec)
         if rejection is not None:
             return await self._reject_unless_accepted(spec.id, rejection)
-        if spec.id in self.poll_batcher.cached:
+        if spec.id in self.heads:
             # Already accepted. A transaction whose guards fail counts as a change, too, and
             # repeated submissions once used up the rate that new ones needed.
             found = await self.poll_batcher.ask(spec.id)
@@ -147,19 +136,19 @@
             )
             return busy()
         except ConflictError:
-            found = await self.find(spec.id, RequestPriority.SUBMISSION)
+            found = await self.reader.find(spec.id, RequestPriority.SUBMISSION)
             if isinstance(found, tuple):
-                self.poll_batcher.cache(spec.id, live_status(found[0]), found[1])
-            return (
-                busy() if found is None else self._status_response(spec.id, found, HTTPStatus.OK)
-            )
+                self.heads.put(spec.id, job_head(*found))
+            return await self._found_response(spec.id, found)
         log.info("accepted %s: %s", spec.id, describe_job(spec.tasks, spec.job_class, spec.team))
         if not isinstance(stored, int):
-            return self._status_response(spec.id, stored, HTTPStatus.OK)
-        record = msgspec.json.decode(puts[0].value, type=JobRecord)
-        self.poll_batcher.cache(spec.id, live_status(record), stored)
+            return await self._found_response(spec.id, stored)
         if is_first:
+            if len(puts) > 1:
+                self.heads.put_dependencies(spec.id, tuple(spec.needs or ()))
             self.lookup.note(spec.id, spec.form)
+        record = msgspec.json.decode(puts[0].value, type=JobRecord)
+        self.heads.put(spec.id, job_head(record, stored))
         return answer(HTTPStatus.CREATED, StatusResponse(spec.id, Outcome.QUEUED))
 
     async def _refuse_malformed(self, body: bytes, rejection: Response) -> Response:
@@ -176,8 +165,23 @@
 
     async def _reject_unless_accepted(self, job: str, rejection: Response) -> Response:
         """Refuse a submission, unless its job was accepted before and so stays accepted."""
-        found = await self._find_cached(job, RequestPriority.SUBMISSION)
-        return rejection if found is None else self._status_response(job, found, HTTPStatus.OK)
+        found = await self.reader.find_cached(job, RequestPriority.SUBMISSION)
+        return rejection if found is None else await self._found_response(job, found)
+
+    async def _found_response(self, job: str, found: StoredJob) -> Response:
+        """Answer a repeated submission, after a read of its job.
+
+        A job that waits for others is read again, together with them.
+        """
+        if found is None:
+            return busy()
+        if isinstance(found, EndedRecord):
+            return self._status_response(job, found, HTTPStatus.OK)
+        head = job_head(*found)
+        if not head.may_wait:
+            return self._status_response(job, head.status, HTTPStatus.OK)
+        state = await self.poll_batcher.ask(job)
+        return busy() if state is None else self._status_response(job, state, HTTPStatus.OK)
 
     async def _find_rejection(self, spec: Spec) -> Response | None:
         """Return the response if a new job can't be accepted, now or ever; None if it can."""
@@ -222,7 +226,7 @@
 
     async def poll(self, job: str) -> Response:
         """Serve GET /submissions/{id}."""
-        cached = self.ended.get(job)
+        cached = self.reader.ended.get(job)
         if cached is not None:
             return self._status_response(job, cached, HTTPStatus.OK)
         try:
@@ -243,83 +247,26 @@
             return busy()
         if found is None:
             return refusal(HTTPStatus.NOT_FOUND, "no such job")
-        return self._status_response(job, found, HTTPStatus.OK, state_only=True)
-
-    async def _find_cached(self, job: str, priority: RequestPriority) -> StoredJob:
-        """Read a job unless its final state is known."""
-        return self.ended.get(job) or await self.find(job, priority)
-
-    async def find(self, job: str, priority: RequestPriority) -> StoredJob:
-        """Read a job.
-
-        A job only moves from live to ended, so the live key is read first. If both keys are
-        absent, the job was never accepted.
-        """
-        self._check_rate_limit(priority)
-        entry = await self.store.get(head_key(job), priority, READ_TIMEOUT)
-        if entry is not None:
-            return self._decode(entry.value, JobRecord), entry.version
-        return await self._find_ended(job, priority)
-
-    async def _read_live(self, job: str) -> JobRecord | None:
-        """Read the head of a live job."""
-        entry = await self.store.get(head_key(job), RequestPriority.SUBMISSION, READ_TIMEOUT)
-        return None if entry is None else self._decode(entry.value, JobRecord)
-
-    def _check_rate_limit(self, priority: RequestPriority) -> None:
-        if self.store.budget.queueing_delay(priority) > READ_TIMEOUT / 2:
-            raise RateLimitedError
-
-    async def _find_ended(self, job: str, priority: RequestPriority) -> EndedRecord | None:
-        """Read the final state of a job that is no longer live, or was never accepted."""
-        entry = await self.store.get(ended_key(job), priority, READ_TIMEOUT)
-        if entry is None:
-            return None
-        record = self._decode(entry.value, EndedRecord)
-        self.cache_ended(job, record)
-        return record
-
-    async def _find_many(self, jobs: set[str]) -> dict[str, LiveRecord]:
-        """Return those of the jobs that are live, from one scan of all live jobs.
-
-        A record that can't be decoded is returned as an error, so that only the requests for its
-        job fail, not the whole batch.
-        """
-        entries, _ = await self.store.scan(head_key(""), RequestPriority.POLL)
-        result: dict[str, LiveRecord] = {}
-        for entry in entries:
-            job = entry.key.removeprefix(head_key(""))
-            if job in jobs:
-                try:
-                    result[job] = self._decode(entry.value, JobRecord), entry.version
-                except StoreError as error:
-                    result[job] = error
-        return result
-
-    @staticmethod
-    def _decode(value: msgspec.Raw, record_type: type[T]) -> T:
-        try:
-            return msgspec.json.decode(value, type=record_type)
-        except msgspec.DecodeError as error:
-            raise StoreError(f"record can't be decoded: {error}") from error
+        if isinstance(found, EndedRecord):
+            return self._status_response(job, found, HTTPStatus.OK, state_only=True)
+        self.heads.mark_cancelled(job)
+        return self._status_response(job, job_head(*found).status, HTTPStatus.OK, state_only=True)
 
     def _status_response(
-        self, job: str, found: StoredJob | LiveStatus, status: int, state_only: bool = False
+        self, job: str, found: LiveStatus | EndedRecord, status: int, state_only: bool = False
     ) -> Response:
         if isinstance(found, EndedRecord):
             body = StatusResponse(
                 job, found.state, found.tasks if found.state is Outcome.DONE else None, 0
             )
         else:
-            assert found is not None
-            live = found if isinstance(found, LiveStatus) else live_status(found[0])
-            state = Outcome.RUNNING if live.running else Outcome.QUEUED
-            if live.cancelled:
+            state = Outcome.RUNNING if found.running else Outcome.QUEUED
+            if found.cancelled and not found.by_dependency:
                 # Not needed for an ended job: it is stored as ended only once none of its tasks
-                # is left.
+                # is left. Nor for one that waits for another: none of its tasks has started.
                 self.confirmed.note(job, self.clock.now())
             body = StatusResponse(
-                job, Outcome.CANCELLED if live.cancelled else state, live.done, live.running
+                job, Outcome.CANCELLED if found.cancelled else state, found.done, found.running
             )
         if state_only:
             body = StatusResponse(job, body.state)
--- a/dappledrum/user_api/poll_batcher.py
+++ b/dappledrum/user_api/poll_batcher.py
@@ -8,80 +8,51 @@
 
 import asyncio
 import logging
-from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Container, Mapping
+from collections.abc import Iterable
 from datetime import timedelta
-from typing import NamedTuple
-
-from dappledrum.jobs.keys import head_key
-from dappledrum.jobs.messages import EndedRecord, JobRecord
-from dappledrum.jobs.stored_job import LiveRecord, StoredJob
-from dappledrum.store.client import StoreClient
-from dappledrum.store.errors import ConflictError, RateLimitedError, StoreError
-from dappledrum.store.hedged_commit import commit_idempotent
-from dappledrum.store.messages import Guard
+
+from dappledrum.jobs.messages import EndedRecord
+from dappledrum.store.errors import RateLimitedError, StoreError
 from dappledrum.store.rate_limiter import RequestPriority
+from dappledrum.user_api.dependency_check import DependencyCheck
+from dappledrum.user_api.fresh_states import REQUEST_TIMEOUT, FreshStates
+from dappledrum.user_api.job_heads import (
+    CANCELLED_BY_DEPENDENCY,
+    MAX_CACHED_JOBS,
+    HeadCache,
+    JobHead,
+    LiveStatus,
+)
+from dappledrum.user_api.job_reader import JobReader
 
 log = logging.getLogger(__name__)
 
-MAX_TRACKED_JOBS = 4_000  # live jobs with a cached state; also jobs with waiting polls
 MIN_BATCH_DELAY = timedelta(milliseconds=10)  # polls that arrive within it share a read
 MAX_BATCH_DELAY = timedelta(milliseconds=300)  # when the share of the request rate is used up
-REQUEST_TIMEOUT = timedelta(seconds=1)
+#: For a batch, with the jobs that its jobs wait for. Users wait for 2 s.
+MAX_READ_TIME = timedelta(seconds=1.5)
 MAX_CONCURRENT_BATCHES = 3  # so that a read that hangs does not delay all other polls
-MAX_SINGLE_READS = 2  # more jobs are read from the list of all live ones
-
-
-class LiveStatus(NamedTuple):
-    """The state of a live job that is shown to users."""
-
-    cancelled: bool
-    done: int
-    running: int
 
 
 PollAnswer = LiveStatus | EndedRecord | None
 
 
-def live_status(record: JobRecord) -> LiveStatus:
-    """Return the part of a record that is shown to users."""
-    return LiveStatus(record.cancelled, record.done, record.running)
-
-
 class PollBatcher:
-    """Waiting polls, and cached states of live jobs."""
+    """Waiting polls, and the batches of reads that answer them."""
 
-    def __init__(
-        self,
-        store: StoreClient,
-        max_guards: int,
-        find: Callable[[str, RequestPriority], Awaitable[StoredJob]],
-        find_many: Callable[[set[str]], Awaitable[dict[str, LiveRecord]]],
-        find_ended: Callable[[str, RequestPriority], Awaitable[EndedRecord | None]],
-    ) -> None:
-        self.store = store
+    def __init__(self, reader: JobReader, heads: HeadCache, max_guards: int) -> None:
+        self.store = reader.store
+        self.reader = reader
+        self.heads = heads
         self.max_guards = max_guards
-        self.find = find
-        self.find_many = find_many
-        self.find_ended = find_ended
-        self.cached: OrderedDict[str, tuple[LiveStatus, int]] = OrderedDict()
         self.waiting: dict[str, asyncio.Future[PollAnswer]] = {}
         self.batches: set[asyncio.Task[None]] = set()
         self.batch_starter: asyncio.Task[None] | None = None
 
-    def cache(self, job: str, found: LiveStatus, version: int) -> None:
-        """Cache the state that a read or a write of this controller has shown."""
-        before = self.cached.get(job)
-        if before is None or before[1] <= version:
-            self.cached[job] = (found, version)
-            self.cached.move_to_end(job)
-            while len(self.cached) > MAX_TRACKED_JOBS:
-                self.cached.popitem(last=False)
-
     async def ask(self, job: str) -> PollAnswer:
         """Return the state of a job, from a read that begins after this call."""
         wait = self.store.budget.queueing_delay(RequestPriority.POLL)
-        if wait > REQUEST_TIMEOUT * 0.8 or len(self.waiting) > MAX_TRACKED_JOBS:
+        if wait > REQUEST_TIMEOUT * 0.8 or len(self.waiting) > MAX_CACHED_JOBS:
             raise RateLimitedError
         answer = self.waiting.get(job)
         if answer is None:
@@ -121,14 +92,7 @@
 
     async def _answer_batch(self, batch: dict[str, asyncio.Future[PollAnswer]]) -> None:
         try:
-            found = await self._read(set(batch))
-            for job, answer in batch.items():
-                if not answer.done():
-                    value = found[job]
-                    if isinstance(value, Exception):
-                        answer.set_exception(value)
-                    else:
-                        answer.set_result(value)
+            await self._read_batch(batch)
         except Exception as error:  # every waiting poll must get an answer
             if not isinstance(error, StoreError):
                 log.exception("reading for polls failed, going on")
@@ -138,67 +102,80 @@
         for answer in batch.values():
             answer.exception()  # marks it as retrieved: the request may have ended
 
-    async def _read(self, jobs: set[str]) -> dict[str, PollAnswer | StoreError]:
-        unchanged = await self._unchanged_states({job for job in jobs if job in self.cached})
-        result: dict[str, PollAnswer | StoreError] = dict(unchanged)
-        missing = jobs - unchanged.keys()
-        find: Callable[[str, RequestPriority], Awaitable[StoredJob]] = self.find
-        if len(missing) > MAX_SINGLE_READS:
-            find = self.find_ended  # a job that is not live has ended, or does not exist
-            for job, found in (await self.find_many(missing)).items():
-                if isinstance(found, StoreError):
-                    result[job] = found
-                else:
-                    result[job] = live_status(found[0])
-                    self.cache(job, live_status(found[0]), found[1])
-            missing -= result.keys()
-        single_reads = await asyncio.gather(*(self._read_single(find, job) for job in missing))
-        result.update(zip(missing, single_reads, strict=True))
-        self._log_evidence(result, unchanged.keys())
-        return result
-
-    def _log_evidence(
-        self, states: Mapping[str, PollAnswer | StoreError], unchanged: Container[str]
-    ) -> None:
-        """Log on which record each state of a live job rests."""
-        if not log.isEnabledFor(logging.DEBUG):
-            return
-        for job, state in states.items():
-            if isinstance(state, LiveStatus) and job in self.cached:
-                evidence = "its version is unchanged" if job in unchanged else "read"
-                version = self.cached[job][1]
-                log.debug("state of live %s: %s, %s, version=%d", job, state, evidence, version)
-
-    async def _unchanged_states(self, jobs: set[str]) -> dict[str, LiveStatus]:
-        """Return the cached states of those cached jobs that have not changed since."""
-        if len(jobs) < 2:
-            return {}  # a read costs no more, and also shows a changed state
-        expected = {job: self.cached[job] for job in jobs}
-        guards = [Guard(head_key(job), version) for job, (_, version) in expected.items()]
+    async def _read_batch(self, batch: dict[str, asyncio.Future[PollAnswer]]) -> None:
+        """Answer all polls of a batch; those of jobs that wait for no other come first."""
+        began = self.reader.store.budget.clock.now()
+        fresh = FreshStates(self.reader, self.heads, self.max_guards)
+        check = DependencyCheck(fresh, self.heads, self.reader.ended)
+        for job in self._known_as_cancelled(batch, check):
+            _answer(batch[job], CANCELLED_BY_DEPENDENCY)
+        jobs = {job for job, answer in batch.items() if not answer.done()}
+        await self._read(jobs, fresh, check)
+        waiting = []
+        for job in jobs:
+            state = fresh.states[job]
+            if isinstance(state, JobHead) and state.may_wait:
+                waiting.append(job)
+            else:
+                _answer(batch[job], state.status if isinstance(state, JobHead) else state)
+        if waiting:
+            time_left = MAX_READ_TIME - (self.reader.store.budget.clock.now() - began)
+            states = await self._check_dependencies(waiting, check, fresh, time_left)
+            for job, status in states.items():
+                _answer(batch[job], status)
+
+    def _known_as_cancelled(self, jobs: Iterable[str], check: DependencyCheck) -> set[str]:
+        """Return those of the jobs that wait for one that is known to be cancelled, which can't
+        change any more."""
+        waiting = [job for job in jobs if (head := self.heads.get(job)) and head.may_wait]
+        found = check.explore(waiting)
+        return found.reached_from(found.cancelled).intersection(waiting)
+
+    async def _read(self, jobs: set[str], fresh: FreshStates, check: DependencyCheck) -> None:
+        """Read the jobs; what they wait for is verified by the same request if possible."""
+        cached = {job for job in jobs if job in self.heads}
+        waiting = [job for job in cached if (head := self.heads.get(job)) and head.may_wait]
+        dependencies = sorted(check.explore(waiting).unread - jobs) if waiting else []
+        # A read of a single job costs no more, and also shows a changed state.
+        if len(cached) + len(dependencies) > 1:
+            await fresh.verify([*cached, *dependencies])
+        missing = jobs - fresh.states.keys()
+        if missing:
+            await fresh.read(missing)
+
+    async def _check_dependencies(
+        self,
+        waiting: list[str],
+        check: DependencyCheck,
+        fresh: FreshStates,
+        max_time: timedelta,
+    ) -> dict[str, LiveStatus | StoreError]:
+        """Return the state of live jobs that wait for others, or why it is not known."""
+        reason = "the records of jobs that it waits for"
         try:
-            await commit_idempotent(self.store, guards, [], RequestPriority.POLL, REQUEST_TIMEOUT)
-            failed: set[str] = set()
-        except ConflictError as error:
-            failed = set(error.conflicting_keys)
-            if not failed:
-                return {}
-        result = {}
-        for job, (found, version) in expected.items():
-            if head_key(job) not in failed:
-                result[job] = found
-            elif self.cached.get(job, (found, version))[1] <= version:
-                self.cached.pop(job, None)
+            async with asyncio.timeout(max(0.0, max_time.total_seconds())):
+                await check.resolve(waiting)
+        except (StoreError, TimeoutError) as error:
+            reason = f"{reason}: {error}"
+        found = check.explore(waiting)
+        cancelled = found.reached_from(found.cancelled)
+        unknown = found.reached_from(found.unread | found.unlisted | found.failed)
+        result: dict[str, LiveStatus | StoreError] = {}
+        for job in waiting:
+            head = fresh.states[job]
+            if job in cancelled:
+                result[job] = CANCELLED_BY_DEPENDENCY
+            elif job in unknown or not isinstance(head, JobHead):
+                result[job] = StoreError(reason)
+            else:
+                result[job] = head.status
         return result
 
-    async def _read_single(
-        self, find: Callable[[str, RequestPriority], Awaitable[StoredJob]], job: str
-    ) -> PollAnswer | StoreError:
-        try:
-            found = await find(job, RequestPriority.POLL)
-        except StoreError as error:
-            return error
-        if isinstance(found, tuple):
-            record, version = found
-            self.cache(job, live_status(record), version)
-            return live_status(record)
-        return found
+
+def _answer(answer: asyncio.Future[PollAnswer], state: PollAnswer | StoreError) -> None:
+    if answer.done():
+        return
+    if isinstance(state, StoreError):
+        answer.set_exception(state)
+    else:
+        answer.set_result(state)
