Late copies of starts have a fault kind of their own, and an invariant that is always checked

Need: on a service like this one a late copy of a start, carried out and answered before, ran a task on two machines and a cancelled task again. It was open whether that can happen here. Change: a simulated worker reports the start of an attempt that it has carried out and forgotten (start_repeated, broken in any simulated cluster).

--- a/dappledrum/model/invariants.py
+++ b/dappledrum/model/invariants.py
@@ -263,6 +263,11 @@
             if len(before.done) < before.spec["beats"] or before.reported == CANCELLED:
                 self._add_broken("too_early", at, f"{job}/{task} before {need} is done")
 
+    def start_repeated(self, at: float, machine: str, task: str, attempt: int) -> None:
+        """A machine gets the start of an attempt that it has carried out and forgotten; it would
+        run again."""
+        self._add_broken("start_repeated", at, f"{task} attempt {attempt} on {machine}")
+
     def ended(self, machine: str, job: str, task: int, completed: bool) -> None:
         """A task has ended on a machine."""
         places = self.running.get((job, task), {})
--- a/dappledrum/simulation/faults/__init__.py
+++ b/dappledrum/simulation/faults/__init__.py
@@ -36,6 +36,7 @@
         machines.MachineMute,
         machines.CloudOutage,
         machines.LateReports,
+        machines.LateStarts,
         machines.LateCommandsFault,
         users.CancelNow,
         users.CancelAtEnd,
@@ -63,7 +64,9 @@
     again."""
     network = cluster.network
     network.heal()
-    network.copies = network.late_writes = network.late_commands = network.watcher = None
+    network.copies = network.start_copies = network.late_writes = network.late_commands = (
+        network.watcher
+    ) = None
     network.copies_for_next_leader.clear()
     cluster.store.refused.clear()
     if cluster.store.in_outage:
--- a/dappledrum/simulation/faults/machines.py
+++ b/dappledrum/simulation/faults/machines.py
@@ -4,10 +4,11 @@
 from dappledrum.simulation.cluster import SimulatedCluster
 from dappledrum.simulation.faults.base import Count, Fault, LastingFault, Share, call_later
 from dappledrum.simulation.fleet import Worker
-from dappledrum.simulation.network import Copies, LateCommands
+from dappledrum.simulation.network import Copies, LateCommands, StartCopies
 
 LISTED_AFTER_FAILURE_S = 30.0  # how long the cloud lists a machine that has failed
 LATE_HEARTBEAT_DELAY = (2.0, 3.0)  # minimum delay in seconds, maximum in leases
+NEAR_LEASE_S = 0.2  # how long before and after the end of a lease copies arrive
 LATE_COMMAND_DELAY_S = (2.0, 16.0)  # range of delays in seconds, as on the bench
 
 
@@ -109,6 +110,24 @@
         call_later(self.for_s, setattr, cluster.network, "copies", None)
 
 
+class LateStarts(LastingFault, tag="late_starts"):
+    """Heartbeats whose answers carried starts are repeated after these were carried out: at once,
+    a heartbeat later, just before the lease and just after it."""
+
+    share: Share
+
+    def begin(self, cluster: SimulatedCluster, restart_delay_s: float) -> None:
+        cluster.network.start_copies = start_copies(cluster, self.share)
+        call_later(self.for_s, setattr, cluster.network, "start_copies", None)
+
+
+def start_copies(cluster: SimulatedCluster, share: float) -> StartCopies:
+    """Copies of this share of the requests whose answers carry starts."""
+    report_s, lease_s = cluster.timing.report_s, cluster.lease_s
+    delays_s = (0.0, report_s, lease_s - NEAR_LEASE_S, lease_s + NEAR_LEASE_S)
+    return StartCopies(share, delays_s, cluster.members, lease_s)
+
+
 class LateCommandsFault(LastingFault, tag="late_commands"):
     """A share of the direct commands gets no answer, and is executed once, seconds later."""
 
--- a/dappledrum/simulation/fleet.py
+++ b/dappledrum/simulation/fleet.py
@@ -93,6 +93,8 @@
         self.controller = rng.choice(controllers)
         self.session, self.sequence, self.token = 1, 0, 0
         self.attempts: dict[tuple[str, int], Attempt] = {}
+        #: Attempts that were on the machine, ended, and are not known to it any more.
+        self.forgotten: set[tuple[str, int]] = set()
         self.done: set[str] = set()
         self.images: set[str] = set()
         self.reclaim_at: float | None = None
@@ -153,6 +155,7 @@
     def _kill_all(self) -> None:
         for attempt in self.attempts.values():
             self._end_attempt(attempt, completed=False)
+        self.forgotten.update(self.attempts)
         self.attempts.clear()
 
     def _end_attempt(self, attempt: Attempt, completed: bool) -> None:
@@ -255,6 +258,8 @@
         attempt = self.attempts.get(key)
         if call["call"] == "start" and attempt is None:
             job, _, number = call["beat"].rpartition("/")
+            if key in self.forgotten:
+                self.rules.start_repeated(self.now(), self.name, *key)
             attempt = self.attempts[key] = Attempt(job, int(number), call["take"])
             refusal = self._refusal(attempt)
             if refusal is not None:
@@ -266,6 +271,7 @@
             self._stop(attempt, call["fadeS"])
         elif call["call"] == "forget" and attempt is not None and attempt.state == "ended":
             del self.attempts[key]
+            self.forgotten.add(key)
             self.changed.set()
 
     def free(self) -> Amount:
--- a/dappledrum/simulation/network.py
+++ b/dappledrum/simulation/network.py
@@ -14,6 +14,7 @@
 
 #: Longer than anybody waits for a response.
 NO_RESPONSE_S = 3_600
+RESTART_CHECK_INTERVAL_S = 0.02
 
 Service = Callable[
     [str, str, str, bytes], Coroutine[Any, Any, Reply]
@@ -43,6 +44,20 @@
     for_next: bool = False
 
 
+class StartCopies(NamedTuple):
+    """Repeats a share of the requests whose answers carried starts, after these were received:
+    heartbeats of workers, and those that controllers forward to each other.
+
+    The copies arrive at each of the delays, heartbeats at a drawn target; a copy for a controller
+    that is down arrives as soon as it is back.
+    """
+
+    share: float
+    delays_s: tuple[float, ...]
+    targets: tuple[str, ...]
+    max_wait_s: float  # for a controller to be back
+
+
 class LateWrites(NamedTuple):
     """Executes a share of the transactions late and without an answer, possibly after newer ones
     of the same sender; or executes them at once and loses only their answers."""
@@ -88,6 +103,7 @@
         #: seconds after which it is executed without an answer to its sender.
         self.watcher: Callable[[Sent], float | None] | None = None
         self.copies: Copies | None = None
+        self.start_copies: StartCopies | None = None
         self.copied = 0  # copies drawn so far
         self.copies_for_next_leader: list[tuple[str, bytes]] = []  # source and heartbeat
         self.highest_token = 0  # the highest fencing token in an answer to a worker
@@ -164,6 +180,28 @@
             context=contextvars.Context(),
         )
 
+    def maybe_repeat_start(self, sent: Sent, reply: Reply) -> None:
+        """Draw whether a request is repeated whose answer carried starts."""
+        copies = self.start_copies
+        if copies is None or b'"start"' not in reply.body or self.rng.random() >= copies.share:
+            return
+        for delay_s in copies.delays_s:
+            self.copied += 1
+            to_any = sent.path == "/hello"
+            target = self.rng.choice(copies.targets) if to_any else sent.target
+            asyncio.get_running_loop().create_task(
+                self._repeat(sent._replace(target=target), delay_s, copies.max_wait_s),
+                context=contextvars.Context(),
+            )
+
+    async def _repeat(self, sent: Sent, delay_s: float, max_wait_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        waited_s = 0.0
+        while sent.target not in self.services and waited_s < max_wait_s:
+            await asyncio.sleep(RESTART_CHECK_INTERVAL_S)
+            waited_s += RESTART_CHECK_INTERVAL_S
+        await self.deliver_later(sent.source, sent.target, "POST", sent.path, sent.body)
+
     def _deliver_kept_copies(self, controller: str, answer: bytes) -> None:
         """Process the answer to a heartbeat: deliver the kept copies, in order, to a controller
         that answers with a new fencing token."""
@@ -269,4 +307,5 @@
             await asyncio.sleep(NO_RESPONSE_S)
         if network.services.get(self.target) is not service:
             raise NoResponseError("connection lost")
+        network.maybe_repeat_start(Sent(self.source, self.target, path, body), reply)
         return reply
--- a/dappledrum/simulation/test_days.py
+++ b/dappledrum/simulation/test_days.py
@@ -260,6 +260,26 @@
     run_check(check)
 
 
+def test_heartbeats_whose_answers_carried_starts_are_repeated():
+    async def check(cluster):
+        repeated, deliver = [], cluster.network.deliver_later
+
+        def record(source, target, *arguments):
+            repeated.append(source)
+            return deliver(source, target, *arguments)
+
+        cluster.network.deliver_later = record
+        begin(cluster, "late_starts", share=1.0, for_s=30.0)
+        await cluster.accept(job(500, beats=1, vcpus=0.1, memGb=0.1, dueS=None))
+        await cluster.until(lambda: cluster.network.copied >= 4, timeout_s=30)
+        await cluster.wait(30)
+        assert cluster.network.start_copies is None
+        await cluster.wait(cluster.lease_s + 1)
+        assert len(repeated) == cluster.network.copied
+
+    run_check(check)
+
+
 def test_each_copy_for_the_next_leader_arrives_there_once_and_none_before():
     async def check(cluster):
         late_targets, deliver = [], cluster.network.deliver_later
--- a/dappledrum/simulation/test_experiment.py
+++ b/dappledrum/simulation/test_experiment.py
@@ -28,6 +28,7 @@
   { at_s = 154.0, kind = "odd_requests", for_s = 20.0 },
   { at_s = 156.0, kind = "cancel_at_end", share = 0.2, for_s = 15.0 },
   { at_s = 160.0, kind = "cancel_now", count = 1, hang_s = 3.0 },
+  { at_s = 162.0, kind = "late_starts", share = 0.5, for_s = 10.0 },
   { at_s = 166.0, kind = "leader_transfer" },
 ]
 """
--- a/dappledrum/simulation/test_fault_combinations.py
+++ b/dappledrum/simulation/test_fault_combinations.py
@@ -28,6 +28,8 @@
     ("cloud_outage", "node_crash"),
     ("late_reports", "machine_hang"),
     ("node_cut", "late_writes"),
+    ("late_starts", "node_crash"),
+    ("late_starts", "machine_hang"),
 )
 
 #: Seeds, and pairs of kinds that are combined with a change of leader.
@@ -38,6 +40,7 @@
     (403, ("odd_requests", "state_outage")),
     (504, ("close_looks", "late_writes:at_once")),
     (608, ("late_reports:for_next", "leader_transfer")),
+    (704, ("late_starts", "cancel_now")),
 )
 
 
