A connection on which an answer begins that nobody waits for is closed

Cause: the pooled client noticed a copy of an answer by its end only. If a copy began on an idle connection and ended after the next request was sent, that request got the copy: a forwarded heartbeat would get commands of another one. No caller has seen it: controllers write one answer for each request. Change: the connection is closed when such an answer begins, and an unusable one when it is taken from the pool. Measured: a server that repeats its answers, with 1, 20 or 38 bytes of the copy before the next request: the client returned 1, 1, 3 for 1, 2, 3 before, and returns 1, 2, 3 now.

--- a/dappledrum/http/client.py
+++ b/dappledrum/http/client.py
@@ -67,6 +67,11 @@
             self._fail("malformed answer")
             self.close()
 
+    def on_message_begin(self) -> None:
+        if self.reply is None or self.reply.done():
+            # Nobody has asked for this answer, and the next request must not get it.
+            self.close()
+
     def on_body(self, body: bytes) -> None:
         self.body += body
         if len(self.body) > MAX_REPLY_BYTES:
@@ -76,8 +81,6 @@
     def on_message_complete(self) -> None:
         if self.reply is not None and not self.reply.done():
             self.reply.set_result(Reply(self.parser.get_status_code(), bytes(self.body)))
-        else:
-            self.reusable = False
         if not self.parser.should_keep_alive():
             self.reusable = False
 
@@ -149,6 +152,7 @@
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
+            connection.close()
         return None
 
     async def _connect(self) -> _ClientConnection:
--- a/dappledrum/http/test_http.py
+++ b/dappledrum/http/test_http.py
@@ -161,3 +161,42 @@
         "5 of 5 connections in use: new active=0 idle=4, worker active=0 idle=0,"
         " user active=0 idle=1"
     ]
+
+
+def answer_to(number):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % number
+
+
+@pytest.mark.parametrize(
+    "split", [0, 1, 20, len(answer_to(1)) - 1], ids=["whole", "1 byte", "head", "all but 1 byte"]
+)
+def test_a_copy_of_an_answer_is_never_taken_for_the_answer_to_the_next_request(split):
+    """Guards against a worker that gets the commands of another answer: a controller would pass on
+    what a copy says to a heartbeat that it forwards. The copy arrives with the answer, or begins
+    with it and ends with the next one."""
+
+    async def main():
+        requests = 0
+
+        async def serve(reader, writer):
+            nonlocal requests
+            rest = b""
+            while await reader.read(4096):
+                requests += 1
+                copy = answer_to(requests)
+                writer.write(rest + answer_to(requests) + (copy[:split] if split else copy))
+                rest = copy[split:] if split else b""
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        client = PooledClient("127.0.0.1", port)
+        for number in range(1, 4):
+            reply = await client.request("GET", "/", None, TIMEOUT)
+            assert reply.body == b"%d" % number
+            await asyncio.sleep(0.01)
+        client.close_idle()
+        listener.close()
+        await asyncio.sleep(0.02)
+
+    asyncio.run(main())
