Test a large page other than the first

Need: a further page's record stands alone, and the drawn tests write the first page only. Change: a page of 150 rows under 1 KiB values and 4 changes, also with late transactions, read as a new leader does.

--- a/dappledrum/jobs/test_late_record_writes.py
+++ b/dappledrum/jobs/test_late_record_writes.py
@@ -5,14 +5,16 @@
 import random
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from dappledrum.election.terms import LEADER_KEY, Term
 from dappledrum.http.client import NoResponseError
 from dappledrum.jobs.job import Job
-from dappledrum.jobs.keys import head_key
-from dappledrum.jobs.messages import JobRecord, MachineRow, PageRecord, Spec
+from dappledrum.jobs.keys import head_key, page_key, rows_key
+from dappledrum.jobs.messages import JobRecord, MachineRow, PageRecord, RowsRecord, Spec
+from dappledrum.jobs.page_encoding import load_rows
 from dappledrum.jobs.record_writer import RecordWriter
 from dappledrum.model.stored_heads import JOB, contents, contents_of, heads
 from dappledrum.settings import StoreLimits
@@ -78,8 +80,8 @@
         page.place(task, MACHINE, 2, "keskusta", page.job.accepted_at)
 
 
-async def write_as_leader(record, store_limits, drawn_delays, drawn_changes):
-    """Change the progress of a job step by step, as its leader; returns the record writer, the
+def leader_of(record, store_limits, drawn_delays):
+    """A store with a leader's key and the head of a job; returns the leader's record writer, the
     job and the store."""
     store = KeyValueStore()
     value = json.loads(msgspec.json.encode(record))
@@ -90,8 +92,16 @@
     client = StoreClient(LateStore(store, drawn_delays), store_limits, clock, random.Random(1))
     term = Term(1, store.revision, 1)
     writer = RecordWriter(client, term, store_limits, ValueLimit(store_limits), clock)
-    job = Job(record, store.revision)
-    page = job.page(0)
+    return writer, Job(record, store.revision), store
+
+
+async def write_as_leader(record, store_limits, drawn_delays, drawn_changes, index=0):
+    """Change the progress of a page of a job step by step, as its leader; returns the record
+    writer, the job and the store."""
+    writer, job, store = leader_of(record, store_limits, drawn_delays)
+    page = job.page(index)
+    for task in range(page.first, page.first + page.count) if index else ():
+        page.place(task, f"host-{37 * task:06d}", 1, "keskusta", job.accepted_at)
     writing = asyncio.create_task(writer.run())
     for completes, offset in [(False, 0), *drawn_changes]:
         change(page, completes, offset)
@@ -106,6 +116,11 @@
     return writer, job, store
 
 
+def contents_of_page(page):
+    rows = {(p.task, p.attempt, p.machine, p.session) for p in page.placements.values()}
+    return page.done, page.attempt, rows
+
+
 def check_stored(writer, job, store):
     assert not writer.dirty
     assert not store.too_large
@@ -141,3 +156,23 @@
     record = JobRecord(msgspec.structs.replace(spec, id=JOB), 1_764_000_000_000, 256, page)
     drawn_changes = [(True, 3), (True, 100), (True, 190)]
     check_stored(*await write_as_leader(record, limits_of(1.0, 4), [], drawn_changes))
+
+
+@pytest.mark.parametrize("drawn_delays", [[], [None, 2, None, 1, 3, None, 4]])
+async def test_a_leader_stores_a_large_page_other_than_the_first(drawn_delays):
+    """Guards against a further page that is taken for a head: its record stands alone."""
+    spec = msgspec.convert(submission(57, beats=300), Spec)
+    record = JobRecord(msgspec.structs.replace(spec, id=JOB), 1_764_000_000_000, 150, PageRecord())
+    drawn_changes = [(True, 3), (False, 5), (True, 100)]
+    writer, job, store = await write_as_leader(
+        record, limits_of(1.0, 4), drawn_delays, drawn_changes, index=1
+    )
+    assert not writer.dirty
+    assert not store.too_large
+    successor = Job(record, 1)
+    stored = msgspec.convert(store.keys[page_key(JOB, 1)][0], PageRecord)
+    successor.add_page(1, stored, 1)
+    for number in range(stored.parts):
+        part = msgspec.convert(store.keys[rows_key(JOB, 1, number)][0], RowsRecord)
+        load_rows(successor.page(1), part)
+    assert contents_of_page(successor.page(1)) == contents_of_page(job.page(1))
