--- a/dappledrum/simulation/virtual_time.py
+++ b/dappledrum/simulation/virtual_time.py
@@ -63,7 +63,7 @@
         handle_cell: list[asyncio.Handle] = []
 
         def reschedule() -> None:
-            self.call_soon(callback, *args, context=context)
+            self.call_soon(_run_unless_cancelled, handle_cell[0], callback, *args, context=context)
 
         handle = super().call_soon(
             self._run_or_defer,
@@ -86,7 +86,7 @@
         handle_cell: list[asyncio.Handle] = []
 
         def reschedule() -> None:
-            self.call_soon(callback, *args, context=context)
+            self.call_soon(_run_unless_cancelled, handle_cell[0], callback, *args, context=context)
 
         handle = super().call_at(
             when,
@@ -117,6 +117,16 @@
             callback(*args)
 
 
+def _run_unless_cancelled(
+    handle: asyncio.Handle,
+    callback: Callable[..., Any],
+    *args: Any,  # noqa: ANN401
+) -> None:
+    """Run a deferred callback, unless it was cancelled after its process had resumed."""
+    if not handle.cancelled():
+        callback(*args)
+
+
 class SkewedClock(Clock):
     """A clock with a rate error in its steady time, and a constant error in its time of day."""
 
