A cancelled job that has run keeps its number of done tasks in answers

Cause: a controller that has cancelled a job itself answered from memory that it is cancelled with a job before it, and 0 done, if the head that it remembered was one of before the job had started. Change: only jobs that are not marked themselves are answered from memory; the others are read.

--- a/dappledrum/user_api/poll_batcher.py
+++ b/dappledrum/user_api/poll_batcher.py
@@ -126,8 +126,15 @@
 
     def _known_as_cancelled(self, jobs: Iterable[str], check: DependencyCheck) -> set[str]:
         """Return those of the jobs that wait for one that is known to be cancelled, which can't
-        change any more."""
-        waiting = [job for job in jobs if (head := self.heads.get(job)) and head.may_wait]
+        change any more.
+
+        A job that is cancelled itself may have run since its head was read, so it is read again.
+        """
+        waiting = [
+            job
+            for job in jobs
+            if (head := self.heads.get(job)) and head.may_wait and not self.heads.is_cancelled(job)
+        ]
         found = check.explore(waiting)
         return found.reached_from(found.cancelled).intersection(waiting)
 
--- a/dappledrum/user_api/test_dependency_check.py
+++ b/dappledrum/user_api/test_dependency_check.py
@@ -280,3 +280,24 @@
         assert asyncio.get_running_loop().time() - before < 2.0
     elapsed = asyncio.get_running_loop().time() - began
     assert link.requests <= 20.0 * 0.2 * (elapsed + 1) + 1  # of its share, with a burst
+
+
+async def test_a_cancelled_job_that_has_run_keeps_its_number_of_done_tasks():
+    """Guards against an answer with fewer done tasks than an earlier one: the controller that
+    cancelled the job remembered only that it once waited (drawn pair 5038)."""
+    stored = StoredJobs()
+    stored.add(1)
+    stored.add(2, [1])
+    job_api, _ = stored.controller()
+    assert await poll(job_api, 2) == "pending"
+    stored.end(1)
+    head = stored.store.keys[head_key(name(2))][0]
+    stored.write(head_key(name(2)), head | {"done": 2, "running": 1, "begun_ms": 1})
+    assert (await job_api.cancel(name(2))).status == 200
+    reply = await job_api.poll(name(2))
+    assert json.loads(reply.body) == {
+        "id": name(2),
+        "stance": "cancelled",
+        "done": 2,
+        "running": 1,
+    }
