--- a/dappledrum/simulation/faults/__init__.py
+++ b/dappledrum/simulation/faults/__init__.py
@@ -64,9 +64,8 @@
     again."""
     network = cluster.network
     network.heal()
-    network.copies = network.start_copies = network.late_writes = network.late_commands = (
-        network.watcher
-    ) = None
+    network.copies = network.start_copies = None
+    network.late_writes = network.late_commands = network.watcher = None
     network.copies_for_next_leader.clear()
     cluster.store.refused.clear()
     if cluster.store.in_outage:
