Review: the system ends a script after 119 s

Cause: nothing bounded a script whose event loop hangs, or whose end does. Change: an alarm in the stand-ins; controllers end with the process that started them.

--- a/review/stage2/world.py
+++ b/review/stage2/world.py
@@ -1044,6 +1044,7 @@
 
 def main(case: str, play: Callable[[World], Awaitable[None]], **changes: object) -> None:
     """Run one case: exit code 1 if a rule was broken, 0 if not, 2 if it could not run."""
+    signal.alarm(119)  # whatever happens; the controllers end with this process
     folder = Path(case).resolve().parent
     if not (ROOT / "target" / "deps").is_dir():
         print("target/deps is missing: run the build first")
