Log when several heartbeats of a machine in a row have no effect

Now the fifth heartbeat in a row without effect is logged, with its session, sequence number and token and those of the newest one.

--- a/dappledrum/workers/machine_registry.py
+++ b/dappledrum/workers/machine_registry.py
@@ -30,6 +30,7 @@
         self.sequence = -1
         self.token = 0
         self.last_heartbeat: timedelta | None = None
+        self.ignored_in_a_row = 0  # heartbeats without effect since the last one with an effect
         # Latest time at which this leader or a predecessor may have answered the worker.
         self.last_answer = now
         self.reclaim_at: timedelta | None = None
--- a/dappledrum/workers/reconciler.py
+++ b/dappledrum/workers/reconciler.py
@@ -41,6 +41,9 @@
 
 log = logging.getLogger(__name__)
 
+#: So many ignored heartbeats in a row are logged: single ones are late copies.
+LOGGED_IGNORED_HEARTBEATS = 5
+
 
 class Reconciler:
     """Updates placements and machines from heartbeats and from missing ones."""
@@ -79,7 +82,9 @@
             return None
         machine = self._machine_of(heartbeat, now)
         if is_late_copy(machine, heartbeat, self.context, now):
+            self._record_ignored(machine, heartbeat)
             return None
+        machine.ignored_in_a_row = 0
         if heartbeat.session > machine.session and machine.up:
             machine.images.clear()
             log.info("%s began a new session: session=%d", machine.name, heartbeat.session)
@@ -95,6 +100,24 @@
             self.spot_reclaim.stop_unfinishable(machine, machine.reclaim_at - now, now)
         return machine
 
+    @staticmethod
+    def _record_ignored(machine: Machine, heartbeat: WorkerHeartbeat) -> None:
+        """Count a heartbeat without effect, and log that there are several in a row."""
+        machine.ignored_in_a_row += 1
+        if machine.ignored_in_a_row == LOGGED_IGNORED_HEARTBEATS:
+            log.warning(
+                "the last %d heartbeats of %s were ignored: session=%d sequence=%d token=%d,"
+                " the newest had session=%d sequence=%d token=%d",
+                machine.ignored_in_a_row,
+                machine.name,
+                heartbeat.session,
+                heartbeat.sequence,
+                heartbeat.token,
+                machine.session,
+                machine.sequence,
+                machine.token,
+            )
+
     def _machine_of(self, heartbeat: WorkerHeartbeat, now: timedelta) -> Machine:
         known = self.registry.get(heartbeat.machine)
         only_recorded = known is None or known.kind is None  # records give only the name and zone
