--- a/dappledrum/simulation/fleet.py
+++ b/dappledrum/simulation/fleet.py
@@ -134,7 +134,7 @@
     def restarted(self) -> "Worker":
         """Start a new worker process on the machine, after the old one has ended with all its
         tasks; returns the new worker."""
-        return Worker(
+        worker = Worker(
             self.name,
             self.kind,
             self.size,
@@ -144,6 +144,8 @@
             self.controllers,
             self.rng,
         )
+        worker.reclaim_at = self.reclaim_at
+        return worker
 
     def terminate(self) -> None:
         """End the worker and all its tasks; the cloud may still list the machine."""
@@ -511,6 +513,21 @@
             ]
             self.recently_terminated.append(machine)
 
+    def restart(self, name: str, after_s: float = 0.0) -> None:
+        """End the worker of a machine with all its tasks; after some seconds a new process of the
+        worker starts there. Ignored if none is running."""
+        machine = self.machines.get(name)
+        if machine is None or machine.worker is None:
+            return
+        former, machine.worker = machine.worker, None
+        former.terminate()
+        asyncio.get_running_loop().call_later(after_s, self._start_worker, machine, former)
+
+    @staticmethod
+    def _start_worker(machine: RentedMachine, former: Worker) -> None:
+        if machine.terminated_at == math.inf:
+            machine.worker = former.restarted()
+
     def workers(self) -> list[Worker]:
         """Workers of all machines that have booted."""
         return [m.worker for m in self.machines.values() if m.worker is not None]
