A copy of an old heartbeat no longer hides a restarted worker

Cause: heartbeats were ordered by (session, sequence) alone, which start anew with each process of a worker.

Change: a leader orders heartbeats by its own token first, and takes only the success of a task from one that does not show it; nothing is removed and no start is sent for it. An answer that may renew the lease of a process with an attempt is counted for that attempt, whatever is concluded from the heartbeat; the check runs in every simulated cluster (simulation/renewal_check.py).

--- a/dappledrum/jobs/placement.py
+++ b/dappledrum/jobs/placement.py
@@ -23,6 +23,7 @@
         "offered_sequence",
         "page",
         "placed_at",
+        "renewed_at",
         "revision",
         "running_since",
         "session",
@@ -52,6 +53,9 @@
         self.revision = page.revision  # must be stored before the start is sent
         self.observed = False  # whether a heartbeat has reported the attempt
         self.running_since: timedelta | None = None
+        #: Latest time at which an answer may have been given to a worker process that has the
+        #: attempt, or gets it by that answer; None: not in this term.
+        self.renewed_at: timedelta | None = None
         # Sequence number of the newest heartbeat whose response contained the start.
         self.offered_sequence = -1
         self.lost = False  # to be stopped; it stays placed until its termination is proven
--- a/dappledrum/leader/heartbeat_responder.py
+++ b/dappledrum/leader/heartbeat_responder.py
@@ -10,6 +10,7 @@
 from dappledrum.leader.context import TermContext, TermState
 from dappledrum.timing.clock import ZERO
 from dappledrum.workers.commands import has_unstored_start
+from dappledrum.workers.heartbeat_order import may_have_former_tasks
 from dappledrum.workers.machine_registry import Machine
 from dappledrum.workers.messages import Command, Commands, WorkerHeartbeat
 from dappledrum.workers.reconciler import Reconciler
@@ -65,7 +66,7 @@
         machine = self.reconciler.process_heartbeat(heartbeat)
         if machine is None:
             return self._answer_to_outdated(heartbeat, may_answer)
-        if self.may_command():
+        if self.may_command() and self.reconciler.commands.may_start(machine, heartbeat):
             await self._wait_for_work(machine, max_wait)
         if not may_answer() or machine.name in self.registry.terminated:
             return None
@@ -91,19 +92,28 @@
     def _answer_to_outdated(
         self, heartbeat: WorkerHeartbeat, may_answer: Callable[[], bool]
     ) -> Commands | None:
-        """Return the answer to a heartbeat that is older than one already processed.
+        """Return the answer to a heartbeat from which nothing is concluded.
 
-        Such a heartbeat does not show that the worker is alive. The answer extends no lease: a
-        lease is counted from the sending of the heartbeat, and a newer one has already arrived.
+        The answer counts as a renewal only if it may renew the lease of a process with
+        tasks. It does not if a newer heartbeat of the same process has arrived, since a lease is
+        counted from the sending of the heartbeat, nor if the sender can have no tasks.
         """
-        if self.registry.get(heartbeat.machine) is None or not may_answer():
+        machine = self.registry.get(heartbeat.machine)
+        if machine is None or not may_answer():
             return None
+        context, now = self.reconciler.context, self.clock.now()
+        if not context.gives(heartbeat.token) and may_have_former_tasks(machine, context, now):
+            machine.last_answer = max(machine.last_answer, now)
+            machine.record_renewal(heartbeat, now)
         return Commands(self.term.epoch, [])
 
     def _commands(self, machine: Machine, heartbeat: WorkerHeartbeat) -> Commands:
         now = self.clock.now()
         machine.last_answer = max(machine.last_answer, now)
-        newest = (machine.session, machine.sequence) == (heartbeat.session, heartbeat.sequence)
+        machine.record_renewal(heartbeat, now)
+        context = self.reconciler.context
+        shown_token = heartbeat.token if context.gives(heartbeat.token) else 0
+        newest = machine.newest == (shown_token, heartbeat.session, heartbeat.sequence)
         if newest:
             machine.reachability.answered(now, self.limits.lease_duration)
         commands: list[Command] = []
--- a/dappledrum/simulation/cluster.py
+++ b/dappledrum/simulation/cluster.py
@@ -36,6 +36,7 @@
 from dappledrum.simulation.fleet import CloudService, Timing
 from dappledrum.simulation.key_value_store import KeyValueStore
 from dappledrum.simulation.network import Link, Network, Service
+from dappledrum.simulation.renewal_check import uncounted_renewals
 from dappledrum.simulation.virtual_time import PROCESS, SkewedClock, VirtualLoop
 
 TYPES = [
@@ -382,9 +383,16 @@
             await asyncio.sleep(min(0.25, end - now))
             self.rules.tick(self.now())
             self.rules.check_waiting(self.now(), self.cloud.free_machines)
-            self.leader()
+            self._check_renewals()
             assert not self.rules.broken, self.rules.broken
 
+    def _check_renewals(self) -> None:
+        member = self.leader()
+        leader = None if member is None else self.controllers[member].leader
+        if leader is not None:
+            uncounted = uncounted_renewals(leader, self.cloud.workers())
+            assert not uncounted, f"renewals are not counted: {uncounted}"
+
     async def until(self, check: Callable[[], bool], timeout_s: float = 120.0) -> float:
         """Wait until a condition holds, checked every 0.25 s; returns the seconds waited."""
         began = asyncio.get_running_loop().time()
--- a/dappledrum/workers/commands.py
+++ b/dappledrum/workers/commands.py
@@ -6,7 +6,6 @@
 
 from dappledrum.jobs.job import Job
 from dappledrum.jobs.placement import Placement
-from dappledrum.timing.clock import Clock
 from dappledrum.workers.machine_registry import Machine
 from dappledrum.workers.messages import (
     Command,
@@ -15,6 +14,7 @@
     WorkerHeartbeat,
     job_and_number,
 )
+from dappledrum.workers.reconciliation_context import ReconciliationContext
 
 #: Keeps each line of an answer below 64 KiB.
 MAX_COMMANDS = 400
@@ -44,9 +44,17 @@
 class WorkerCommands:
     """Derives commands from the records and a heartbeat."""
 
-    def __init__(self, jobs: dict[str, Job], clock: Clock) -> None:
-        self.jobs = jobs
-        self.clock = clock
+    def __init__(self, context: ReconciliationContext) -> None:
+        self.context = context
+        self.jobs = context.jobs
+        self.clock = context.clock
+
+    def may_start(self, machine: Machine, heartbeat: WorkerHeartbeat) -> bool:
+        """Whether the answer to a heartbeat may carry starts: if it is the newest of the newest
+        known worker process, or no heartbeat of the machine has shown this term's token yet."""
+        if self.context.gives(heartbeat.token):
+            return heartbeat.token == machine.incarnation
+        return machine.up and machine.incarnation == 0
 
     def of_cancellations(self, machine: Machine, heartbeat: WorkerHeartbeat) -> list[Command]:
         """Commands from a leader whose term depends on lease grants alone: stop the tasks of
@@ -71,6 +79,8 @@
             if command is not None:
                 result.append(command)
             active.add((item.task, item.attempt))
+        if not self.may_start(machine, heartbeat):
+            return result
         for placement in machine.placements.values():
             started = (placement.name, placement.attempt) in active
             if started or placement.session != heartbeat.session:
@@ -80,6 +90,7 @@
             # Write ahead: a start is sent only after its record is stored.
             if should_run(placement) and placement.page.stored_revision >= placement.revision:
                 placement.offered_sequence = max(placement.offered_sequence, heartbeat.sequence)
+                placement.renewed_at = self.clock.now()
                 result.append(Command("start", placement.name, placement.attempt))
         return result
 
--- a/dappledrum/workers/machine_registry.py
+++ b/dappledrum/workers/machine_registry.py
@@ -8,6 +8,7 @@
 from dappledrum.jobs.placement import Placement
 from dappledrum.scheduling.timeline import InstanceKind
 from dappledrum.timing.clock import longest_local_span
+from dappledrum.workers.messages import WorkerHeartbeat, job_and_number
 from dappledrum.workers.reachability import LEASE_EXPIRY_MARGIN, Reachability
 
 MAX_TERMINATED_NAMES = 2_000
@@ -28,7 +29,10 @@
         self.up_at: timedelta | None = None
         self.session = 0
         self.sequence = -1
-        self.token = 0
+        #: This term's token, once a process of the worker has shown it; 0: not yet.
+        self.incarnation = 0
+        #: When the first heartbeat without a token of this term arrived.
+        self.unproven_since: timedelta | None = None
         self.last_heartbeat: timedelta | None = None
         self.ignored_in_a_row = 0  # heartbeats without effect since the last one with an effect
         # Latest time at which this leader or a predecessor may have answered the worker.
@@ -50,6 +54,12 @@
         #: recorded. A record, the cloud's list, a rental or this term's token confirms a machine.
         self.unconfirmed = False
 
+    @property
+    def newest(self) -> tuple[int, int, int]:
+        """Token, session and sequence number of the newest heartbeat; the token is 0 if it is not
+        of this term."""
+        return self.incarnation, self.session, self.sequence
+
     @property
     def up(self) -> bool:
         """Whether its worker has sent this leader a heartbeat that can't be a late copy from a
@@ -79,6 +89,27 @@
         )
         return now > last_contact + longest_local_span(lease) + LEASE_EXPIRY_MARGIN
 
+    def record_renewal(self, heartbeat: WorkerHeartbeat, now: timedelta) -> None:
+        """Record that the sender of a heartbeat may be answered now, which renews its lease.
+
+        This counts for the placements that it shows: a sender that has no attempt of them gets
+        none by the answer either, unless that carries its start.
+        """
+        for status in heartbeat.tasks:
+            job_id, number = job_and_number(status.task)
+            placement = None if number is None else self.placements.get((job_id, number))
+            if placement is None or placement.attempt != status.attempt:
+                continue
+            if placement.renewed_at is None or placement.renewed_at < now:
+                placement.renewed_at = now
+
+    def placement_expired(self, placement: Placement, now: timedelta, lease: timedelta) -> bool:
+        """Whether the attempt has certainly ended, since no answer can have reached a worker
+        process that has it for longer than a lease."""
+        if placement.renewed_at is None:
+            return self.expired(now, lease)
+        return now > placement.renewed_at + longest_local_span(lease) + LEASE_EXPIRY_MARGIN
+
     def silent(
         self, now: timedelta, heartbeat_interval: timedelta, running_since: timedelta
     ) -> bool:
@@ -90,6 +121,13 @@
             seconds=2
         )
 
+    def begin_incarnation(self, token: int) -> None:
+        """Record that a process of the worker has shown this token of this term for the first
+        time. What an earlier heartbeat has shown says nothing about it."""
+        for placement in self.placements.values():
+            placement.offered_sequence = -1
+        self.incarnation = token
+
     def remember_image(self, image: str, size_gb: float, cache_gb: float) -> None:
         """Record that the machine has fetched an image; the least recently used ones that its
         cache can't hold are forgotten."""
--- a/dappledrum/workers/placement_comparison.py
+++ b/dappledrum/workers/placement_comparison.py
@@ -9,7 +9,13 @@
 from dappledrum.workers.attempt_ends import AttemptEnds
 from dappledrum.workers.commands import should_run
 from dappledrum.workers.machine_registry import Machine
-from dappledrum.workers.messages import TaskState, TaskStatus, WorkerHeartbeat, job_and_number
+from dappledrum.workers.messages import (
+    Cause,
+    TaskState,
+    TaskStatus,
+    WorkerHeartbeat,
+    job_and_number,
+)
 from dappledrum.workers.reachability_updates import record_missed_answer, record_received_answer
 from dappledrum.workers.reconciliation_context import ReconciliationContext
 
@@ -31,7 +37,8 @@
         self.cache_gb: dict[str, float] = {}  # size of the image cache, by machine type
 
     def apply(self, machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta) -> None:
-        """Process the tasks that a heartbeat shows, and the placements that it does not show."""
+        """Process the tasks that the newest heartbeat of the newest worker process shows, and the
+        placements that it does not show."""
         shown = self._process_shown(machine, heartbeat, now)
         missed_start = False
         for placement in list(machine.placements.values()):
@@ -57,6 +64,19 @@
                 # is not on the machine.
                 placement.lost |= not placement.observed
 
+    def record_successes(self, machine: Machine, heartbeat: WorkerHeartbeat) -> None:
+        """Process the tasks that a heartbeat shows as done, which they remain.
+
+        The machine may run a task again, so its placement is kept.
+        """
+        for status in heartbeat.tasks:
+            job_id, number = job_and_number(status.task)
+            job = self.context.jobs.get(job_id)
+            if job is None or number is None or number >= job.spec.tasks:
+                continue
+            if status.state == TaskState.ENDED and status.cause == Cause.DONE:
+                self.ends.end(machine, job.page_of(number), number, None, status)
+
     def _process_shown(
         self, machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta
     ) -> set[AttemptKey]:
@@ -105,10 +125,8 @@
         """Whether the absence of an attempt from a heartbeat of its session proves that it is not
         on the machine: the worker has processed or dropped the answer that carried the start, and
         no other answer carries it."""
-        return (
-            heartbeat.token == self.context.token
-            and heartbeat.sequence > placement.offered_sequence
-            and (placement.observed or placement.lost or not should_run(placement))
+        return heartbeat.sequence > placement.offered_sequence and (
+            placement.observed or placement.lost or not should_run(placement)
         )
 
 
--- a/dappledrum/workers/reachability_updates.py
+++ b/dappledrum/workers/reachability_updates.py
@@ -13,25 +13,30 @@
 def update_reachability(
     machine: Machine, heartbeat: WorkerHeartbeat, context: ReconciliationContext, now: timedelta
 ) -> None:
-    """Compare a heartbeat with the effects that the answers before it must have had.
+    """Compare a heartbeat that shows a token of this term with the effects that the answers before
+    it must have had.
 
-    To be called before the machine's session and token are set to those of the heartbeat.
+    To be called before the machine's session is set to that of the heartbeat.
     """
     reachability, lease = machine.reachability, context.limits.lease_duration
     got_answer = False
-    if heartbeat.token == context.token and not reachability.token_shown:
+    if not reachability.token_shown:
         got_answer = reachability.token_shown = True
     if heartbeat.session > machine.session:
         if reachability.new_session(now, lease, context.running_since()):
             log.warning("%s ended its session although its heartbeats were answered", machine.name)
-    elif heartbeat.token == context.token and reachability.outlasts_lease(now, lease):
+    elif reachability.outlasts_lease(now, lease):
         got_answer = reachability.unreachable
-    elif heartbeat.token < context.token and reachability.answered_at is not None:
-        record_missed_answer(machine, "does not adopt this term's token")
     if got_answer:
         record_received_answer(machine)
 
 
+def record_unadopted_token(machine: Machine) -> None:
+    """Record a heartbeat that shows no token of this term: an answer before it was lost."""
+    if machine.reachability.answered_at is not None:
+        record_missed_answer(machine, "does not adopt this term's token")
+
+
 def record_missed_answer(machine: Machine, reason: str) -> None:
     """Record that a heartbeat lacks the effect of an earlier answer; `reason` is logged."""
     if machine.reachability.record_missed_answer():
--- a/dappledrum/workers/reconciler.py
+++ b/dappledrum/workers/reconciler.py
@@ -2,17 +2,17 @@
 
 An attempt counts as being on its machine until it is proven to have terminated, by one of:
 
-- a heartbeat that shows it ended;
-- a heartbeat without it that carries this term's token (one delayed from a predecessor's term
+- a heartbeat with a token of this term that shows it ended; a success is final, whoever shows it;
+- a heartbeat without it that carries a token of this term (one delayed from a predecessor's term
   proves nothing) and is newer than the one whose answer carried the start (the worker has dropped
   that answer by then);
-- a heartbeat of a newer session;
+- a heartbeat of a newer session with a token of this term;
 - the cloud's confirmation that the machine was returned;
 - silence for longer than a lease, clock drift included, since the last answer that any controller
-  can have given. A predecessor may have answered until this term began; if a majority of the
-  controllers could not be asked then, until a majority has confirmed that it is free of lease
-  grants; or only until an earlier time, if all the others inform this leader since when they have
-  had no term.
+  can have given to a worker process that had the attempt. A predecessor may have answered until
+  this term began; if a majority of the controllers could not be asked then, until a majority has
+  confirmed that it is free of lease grants; or only until an earlier time, if all the others
+  inform this leader since when they have had no term.
 """
 
 import logging
@@ -27,12 +27,15 @@
 from dappledrum.workers.attempt_ends import AttemptEnds
 from dappledrum.workers.commands import WorkerCommands
 from dappledrum.workers.cost_recorder import CostRecorder
-from dappledrum.workers.heartbeat_order import is_late_copy
+from dappledrum.workers.heartbeat_order import HeartbeatStanding, standing_of
 from dappledrum.workers.machine_registry import Machine
 from dappledrum.workers.messages import WorkerHeartbeat
 from dappledrum.workers.placement_comparison import PlacementComparison
 from dappledrum.workers.reachability import LEASE_EXPIRY_MARGIN
-from dappledrum.workers.reachability_updates import update_reachability
+from dappledrum.workers.reachability_updates import (
+    record_unadopted_token,
+    update_reachability,
+)
 from dappledrum.workers.reconciliation_context import (
     ReconciliationContext,
     ReconciliationObserver,
@@ -61,7 +64,7 @@
         self.registry = context.registry
         self.limits = context.limits
         self.clock = context.clock
-        self.commands = WorkerCommands(context.jobs, context.clock)
+        self.commands = WorkerCommands(context)
         self.ends = AttemptEnds(context, estimates, cost_recorder, observer)
         self.comparison = PlacementComparison(context, self.ends)
         self.spot_reclaim = SpotReclaim(estimates, context.limits)
@@ -75,30 +78,59 @@
     def process_heartbeat(self, heartbeat: WorkerHeartbeat) -> Machine | None:
         """Update the machine and its placements from a heartbeat.
 
-        Returns the machine, or None if the heartbeat is a late copy or its machine has terminated.
+        Returns the machine, or None if nothing may be concluded from the heartbeat (see
+        `HeartbeatStanding.OUTDATED`) or its machine has terminated.
         """
         now = self.clock.now()
         if heartbeat.machine in self.registry.terminated:
             return None
         machine = self._machine_of(heartbeat, now)
-        if is_late_copy(machine, heartbeat, self.context, now):
-            self._record_ignored(machine, heartbeat)
-            return None
-        machine.ignored_in_a_row = 0
+        match standing_of(machine, heartbeat, self.context, now):
+            case HeartbeatStanding.OUTDATED:
+                self._record_ignored(machine, heartbeat)
+                return None
+            case HeartbeatStanding.UNPROVEN:
+                self._process_unproven(machine, heartbeat, now)
+            case HeartbeatStanding.FIRST:
+                self._record_order(machine, heartbeat, now)
+                self._record_up(machine, heartbeat, now)
+                self.comparison.record_successes(machine, heartbeat)
+            case HeartbeatStanding.CURRENT:
+                self._process_current(machine, heartbeat, now)
+        return machine
+
+    def _process_unproven(
+        self, machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta
+    ) -> None:
+        record_unadopted_token(machine)
+        self._record_order(machine, heartbeat, now)
+        self.comparison.record_successes(machine, heartbeat)
+
+    def _process_current(
+        self, machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta
+    ) -> None:
+        if heartbeat.token != machine.incarnation:
+            machine.begin_incarnation(heartbeat.token)
         if heartbeat.session > machine.session and machine.up:
             machine.images.clear()
             log.info("%s began a new session: session=%d", machine.name, heartbeat.session)
         update_reachability(machine, heartbeat, self.context, now)
-        machine.session = heartbeat.session
-        machine.sequence = heartbeat.sequence
-        machine.token = heartbeat.token
-        machine.last_heartbeat = now
+        self._record_order(machine, heartbeat, now)
         self._record_up(machine, heartbeat, now)
         self._record_reclaim_notice(machine, heartbeat, now)
         self.comparison.apply(machine, heartbeat, now)
         if machine.reclaim_at is not None:
             self.spot_reclaim.stop_unfinishable(machine, machine.reclaim_at - now, now)
-        return machine
+
+    @staticmethod
+    def _record_order(machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta) -> None:
+        machine.session = heartbeat.session
+        machine.sequence = heartbeat.sequence
+        machine.last_heartbeat = now
+        machine.record_renewal(heartbeat, now)
+        machine.ignored_in_a_row = 0
+        if machine.unproven_since is None:
+            machine.unproven_since = now
 
     @staticmethod
     def _record_ignored(machine: Machine, heartbeat: WorkerHeartbeat) -> None:
@@ -115,7 +147,7 @@
                 heartbeat.token,
                 machine.session,
                 machine.sequence,
-                machine.token,
+                machine.incarnation,
             )
 
     def _machine_of(self, heartbeat: WorkerHeartbeat, now: timedelta) -> Machine:
@@ -125,11 +157,11 @@
             heartbeat.machine, InstanceKind(heartbeat.type, heartbeat.zone, heartbeat.spot), now
         )
         if only_recorded:
-            machine.unconfirmed = heartbeat.token != self.context.token
+            machine.unconfirmed = not self.context.gives(heartbeat.token)
         return machine
 
     def _record_up(self, machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta) -> None:
-        confirmed = heartbeat.token == self.context.token or machine.asked_at is not None
+        confirmed = self.context.gives(heartbeat.token) or machine.asked_at is not None
         if confirmed and not machine.up:
             machine.up_at = now
             machine.unconfirmed = False
@@ -164,19 +196,19 @@
             or now <= others_stopped_at + longest_local_span(lease) + LEASE_EXPIRY_MARGIN
         ):
             return
+        reason = "the machine is silent for longer than its lease"
         for machine in self.registry:
-            if machine.placements and machine.expired(now, lease):
-                reason = "the machine is silent for longer than its lease"
-                self._lose_all(machine, reason, CostCategory.LOST_LEASE_EXPIRED)
+            for placement in list(machine.placements.values()):
+                if machine.placement_expired(placement, now, lease):
+                    self.ends.lose(machine, placement, reason, CostCategory.LOST_LEASE_EXPIRED)
 
     def remove_returned(self, machine: Machine) -> None:
         """Remove a machine and its placements, after the cloud has confirmed its return."""
-        self._lose_all(machine, "the machine was returned", CostCategory.LOST_RECLAIMED)
-        self.registry.remove_terminated(machine.name)
-
-    def _lose_all(self, machine: Machine, reason: str, category: CostCategory) -> None:
         for placement in list(machine.placements.values()):
-            self.ends.lose(machine, placement, reason, category)
+            self.ends.lose(
+                machine, placement, "the machine was returned", CostCategory.LOST_RECLAIMED
+            )
+        self.registry.remove_terminated(machine.name)
 
     def no_answers_since(self, moment: timedelta) -> None:
         """Record that no predecessor has answered any worker since `moment`."""
@@ -184,6 +216,8 @@
         for machine in self.registry:
             if machine.last_heartbeat is None:
                 machine.last_answer = min(machine.last_answer, moment)
+                for placement in machine.placements.values():
+                    placement.renewed_at = machine.last_answer
 
     def restore(self, job: Job) -> None:
         """Take over the placements of a job from a predecessor, which may have answered any worker
@@ -193,6 +227,7 @@
         for placement in job.placements():
             machine = self.registry.ensure(placement.machine, None, now)
             machine.last_answer = now if stopped_at is None else min(now, stopped_at)
+            placement.renewed_at = machine.last_answer
             machine.placements[(job.id, placement.task)] = placement
             age = self.clock.utc_now() - placement.placed_at
             placement.running_since = now - max(age, ZERO)
--- a/dappledrum/workers/reconciliation_context.py
+++ b/dappledrum/workers/reconciliation_context.py
@@ -41,3 +41,7 @@
     token: int
     others_stopped_at: Callable[[], timedelta | None] = lambda: ZERO
     running_since: Callable[[], timedelta] = lambda: ZERO
+
+    def gives(self, token: int) -> bool:
+        """Whether a fencing token belongs to this term."""
+        return token == self.token
--- a/dappledrum/workers/test_reconciler.py
+++ b/dappledrum/workers/test_reconciler.py
@@ -285,3 +285,29 @@
     assert setup.heartbeat(20, RUNNING, token=TOKEN - 1) == []
     assert setup.heartbeat(21, RUNNING) == []
     assert not setup.placement_removed
+
+
+async def test_a_heartbeat_without_this_terms_token_gets_no_start():
+    """Guards against `ran_twice`: the start went to a new process, and a delayed heartbeat of the
+    former one, which had been answered in this term, then showed that attempt as failed."""
+    setup = OneJobReconciler()
+    setup.registry.machines.clear()
+    setup.save()
+    setup.reconciler.restore(setup.job)
+    for sequence, token in ((1, 0), (2, TOKEN - 1), (3, 0)):
+        assert setup.heartbeat(sequence, token=token) == []
+    assert setup.heartbeat(1) == [("start", 1)]
+
+
+async def test_a_success_shown_by_a_copy_counts_but_the_task_stays_placed():
+    """Guards against `quota`: the new process may run the task again."""
+    setup = OneJobReconciler()
+    setup.registry.machines.clear()
+    setup.save()
+    setup.reconciler.restore(setup.job)
+    setup.heartbeat(9, DONE, token=TOKEN - 1)
+    assert setup.page.is_done(0)
+    assert not setup.placement_removed
+    assert setup.heartbeat(2, RUNNING) == [("stop", 1)]
+    setup.heartbeat(3)
+    assert setup.placement_removed
