Restarted machines get work at once: tokens tell the processes of a worker apart

Cause: both processes of a worker showed the one token of the present term, so only (session, sequence) were left to order their heartbeats, and these start anew. The new process was ignored until it had reached the former one's numbers.

Change: a term reserves 2^20 tokens with the transaction that wins it (the key `epoch` holds the last). An answer to a heartbeat that shows none of them carries one that this machine was never given, so each is shown by one process, and a higher one by a newer process. What the former process had shown is forgotten with it. No request to machine, store or cloud is added; it works in an outage.

Tests that compare epochs or the highest token count terms now (test_concurrent_leadership_faults, test_partitions), with the same bounds; the stored epoch in golden/test_store.py is the last token of the term.

Messages change: the value of the key `epoch`, the epochs and tokens of later terms, answers to heartbeats without a token of the term.

--- a/dappledrum/controller/test_concurrent_leadership_faults.py
+++ b/dappledrum/controller/test_concurrent_leadership_faults.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from dappledrum.election.terms import TOKENS_PER_TERM
 from dappledrum.simulation.fault_combinations import FIVE
 from dappledrum.simulation.fleet import Worker
 from dappledrum.simulation.ground_truth import compared_with_ground_truth
@@ -313,16 +314,17 @@
 
 def count_late_answers(monkeypatch):
     """Count answers, and the starts in them, that a worker accepts after some worker has received
-    an answer with a higher token."""
-    counts, highest_token = Counter(), [0]
+    an answer of a later term."""
+    counts, newest_term = Counter(), [0]
     accept = Worker._accept
 
     def count_and_accept(worker, answer, sent, session):
         starts = sum(call["call"] == "start" for call in answer["calls"])
-        if answer["baton"] < highest_token[0]:
+        term = (answer["baton"] - 1) // TOKENS_PER_TERM
+        if term < newest_term[0]:
             counts["answers"] += 1
             counts["starts"] += starts
-        highest_token[0] = max(highest_token[0], answer["baton"])
+        newest_term[0] = max(newest_term[0], term)
         accept(worker, answer, sent, session)
 
     monkeypatch.setattr(Worker, "_accept", count_and_accept)
--- a/dappledrum/election/campaign.py
+++ b/dappledrum/election/campaign.py
@@ -9,7 +9,7 @@
 from dappledrum.election.former_leaders import FormerLeaderCheck
 from dappledrum.election.lease_keeper import LeaseKeeper
 from dappledrum.election.messages import EpochRecord, LeaderRecord
-from dappledrum.election.terms import EPOCH_KEY, LEADER_KEY, Term
+from dappledrum.election.terms import EPOCH_KEY, LEADER_KEY, TOKENS_PER_TERM, Term
 from dappledrum.election.transfers import PendingTransfer
 from dappledrum.election.voter import Voter
 from dappledrum.store.client import StoreClient
@@ -103,7 +103,7 @@
         """
         changes = [
             Put(LEADER_KEY, encode_value(LeaderRecord(self.member, epoch)), lease),
-            Put(EPOCH_KEY, encode_value(EpochRecord(epoch))),
+            Put(EPOCH_KEY, encode_value(EpochRecord(epoch + TOKENS_PER_TERM - 1))),
         ]
         try:
             return await commit_or_find(
--- a/dappledrum/election/messages.py
+++ b/dappledrum/election/messages.py
@@ -17,7 +17,10 @@
 
 
 class EpochRecord(msgspec.Struct):
-    """Value of the key `epoch`, which only grows."""
+    """Value of the key `epoch`, which only grows: the highest token that any term may give.
+
+    Versions up to 0.7.1 give one token in each term, its epoch.
+    """
 
     epoch: int
 
--- a/dappledrum/election/terms.py
+++ b/dappledrum/election/terms.py
@@ -8,6 +8,8 @@
 
 LEADER_KEY = "leader"
 EPOCH_KEY = "epoch"
+#: Number of fencing tokens that one term may give to each worker, the first of which is its epoch.
+TOKENS_PER_TERM = 2**20
 
 
 class Term:
@@ -33,6 +35,11 @@
         self.ended = asyncio.Event()
         self.successor: str | None = None  # the controller that leadership is transferred to
 
+    @property
+    def last_token(self) -> int:
+        """The highest token of this term: any later term has a higher epoch."""
+        return self.epoch + TOKENS_PER_TERM - 1
+
     def record_cancellations_known(self, moment: timedelta) -> None:
         """Record that the leader has read every cancellation that any controller had confirmed to
         a user by `moment`, and applies it from its next answer on.
--- a/dappledrum/election/transfers.py
+++ b/dappledrum/election/transfers.py
@@ -96,7 +96,7 @@
     """Offer leadership after an ended term to a successor; wait until it leads or refuses."""
     request = TransferLeadership(
         context.member,
-        term.epoch,
+        term.last_token,
         term.version,
         [*limit.ages_ms(), 0],
         term.others_stopped_at is not None,
--- a/dappledrum/golden/test_store.py
+++ b/dappledrum/golden/test_store.py
@@ -8,7 +8,7 @@
 
 from dappledrum.controller import catalog, peer_versions
 from dappledrum.election.messages import EpochRecord, LeaderRecord
-from dappledrum.election.terms import EPOCH_KEY, LEADER_KEY
+from dappledrum.election.terms import EPOCH_KEY, LEADER_KEY, TOKENS_PER_TERM
 from dappledrum.fleet.fleet_facts import FLEET
 from dappledrum.fleet.messages import BootingRecord, Catalog, FleetRecord, MachineType
 from dappledrum.golden.entries import load
@@ -325,4 +325,4 @@
         )
     }
     assert cluster.store.keys["leader"][0] == {"member": "drummer-0", "epoch": 1}
-    assert cluster.store.keys["epoch"][0] == {"epoch": 1}
+    assert cluster.store.keys["epoch"][0] == {"epoch": TOKENS_PER_TERM}
--- a/dappledrum/leader/heartbeat_responder.py
+++ b/dappledrum/leader/heartbeat_responder.py
@@ -9,6 +9,7 @@
 from dappledrum.jobs.record_writer import RecordWriter
 from dappledrum.leader.context import TermContext, TermState
 from dappledrum.timing.clock import ZERO
+from dappledrum.workers.answer_tokens import answer_token
 from dappledrum.workers.commands import has_unstored_start
 from dappledrum.workers.heartbeat_order import may_have_former_tasks
 from dappledrum.workers.machine_registry import Machine
@@ -78,12 +79,12 @@
 
     def _is_superseded(self, heartbeat: WorkerHeartbeat) -> bool:
         """Whether a later leader has answered the worker; if so, end this term."""
-        if heartbeat.token <= self.term.epoch:
+        if heartbeat.token <= self.term.last_token:
             return False
         log.warning(
-            "stepping down: a leader with epoch %d has answered %s, own epoch is %d",
-            heartbeat.token,
+            "stepping down: a later leader has answered %s: token=%d own_epoch=%d",
             heartbeat.machine,
+            heartbeat.token,
             self.term.epoch,
         )
         self.term.ended.set()
@@ -94,7 +95,8 @@
     ) -> Commands | None:
         """Return the answer to a heartbeat from which nothing is concluded.
 
-        The answer counts as a renewal only if it may renew the lease of a process with
+        If it is from a new worker process, the token in the answer lets its next heartbeat show
+        that. The answer counts as a renewal only if it may renew the lease of a process with
         tasks. It does not if a newer heartbeat of the same process has arrived, since a lease is
         counted from the sending of the heartbeat, nor if the sender can have no tasks.
         """
@@ -102,12 +104,15 @@
         if machine is None or not may_answer():
             return None
         context, now = self.reconciler.context, self.clock.now()
+        token = answer_token(machine, heartbeat, context)
+        if token is None:
+            return None
         if not context.gives(heartbeat.token) and may_have_former_tasks(machine, context, now):
             machine.last_answer = max(machine.last_answer, now)
             machine.record_renewal(heartbeat, now)
-        return Commands(self.term.epoch, [])
+        return Commands(token, [])
 
-    def _commands(self, machine: Machine, heartbeat: WorkerHeartbeat) -> Commands:
+    def _commands(self, machine: Machine, heartbeat: WorkerHeartbeat) -> Commands | None:
         now = self.clock.now()
         machine.last_answer = max(machine.last_answer, now)
         machine.record_renewal(heartbeat, now)
@@ -121,7 +126,8 @@
             commands = self.reconciler.commands.of_records(machine, heartbeat)
         elif newest:
             commands = self.reconciler.commands.of_cancellations(machine, heartbeat)
-        return Commands(self.term.epoch, commands)
+        token = answer_token(machine, heartbeat, context)
+        return None if token is None else Commands(token, commands)
 
     async def _wait_for_work(self, machine: Machine, max_wait: timedelta) -> None:
         """Wait a little before answering, so that the answer can carry starts.
--- a/dappledrum/leader/leader.py
+++ b/dappledrum/leader/leader.py
@@ -129,6 +129,7 @@
             context.term.epoch,
             lambda: context.term.others_stopped_at,
             context.running_since,
+            context.term.last_token,
         )
         return Reconciler(reconciliation_context, self.estimates, self.state.ledger, self)
 
--- a/dappledrum/membership/redirected_workers.py
+++ b/dappledrum/membership/redirected_workers.py
@@ -53,7 +53,7 @@
             worker.forwarded_until = None
         elif worker.forwarded_once:
             worker.forwarded_once = False
-        elif worker.redirected or token == epoch:
+        elif worker.redirected or token >= epoch:
             worker.redirected = False
             worker.forwarded_until = now + worker.forwarding_period
             worker.forwarding_period = min(worker.forwarding_period * 2, MAX_FORWARDING_PERIOD)
--- a/dappledrum/membership/test_partitions.py
+++ b/dappledrum/membership/test_partitions.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dappledrum.election.messages import TransferLeadership
+from dappledrum.election.terms import TOKENS_PER_TERM
 from dappledrum.simulation.cluster import job, led_cluster
 from dappledrum.simulation.fault_combinations import FIVE
 from dappledrum.simulation.network_partitions import after
@@ -152,20 +153,24 @@
     await cluster.wait(10)
 
 
+def newest_term(cluster):
+    """The number of terms before the newest one that a controller knows."""
+    epochs = [controller.elector.epoch for controller in cluster.controllers.values()]
+    return (max(epochs) - 1) // TOKENS_PER_TERM
+
+
 async def test_unstable_links_transfer_leadership_at_most_three_times_a_minute(caplog):
     """Every two seconds the store refuses the other half of the controllers. Between transfers the
     leader keeps its lease."""
     cluster = await cluster_with_long_jobs(seed=4)
-    before = max(controller.elector.epoch for controller in cluster.controllers.values())
+    before = newest_term(cluster)
     for second in range(60):
         refused = [m for n, m in enumerate(FIVE) if (n + second // 2) % 2]
         cluster.store.refused = set(refused)
         await cluster.wait(1)
     transfers = [r for r in caplog.records if "transferring leadership" in r.getMessage()]
     assert 0 < len(transfers) <= 3
-    assert (
-        max(controller.elector.epoch for controller in cluster.controllers.values()) <= before + 4
-    )
+    assert newest_term(cluster) <= before + 4
     cluster.store.refused.clear()
     await cluster.wait(3)
 
@@ -191,7 +196,7 @@
     cluster = await cluster_with_long_jobs(seed=6)
     leader = cluster.leader()
     term = cluster.controllers[leader].elector.term
-    offer = TransferLeadership(leader, term.epoch, term.version, [], True)
+    offer = TransferLeadership(leader, term.last_token, term.version, [], True)
     await cluster.restart(leader)
     await cluster.until_led()
     new_leader = cluster.leader()
--- a/dappledrum/simulation/network.py
+++ b/dappledrum/simulation/network.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+from dappledrum.election.terms import TOKENS_PER_TERM
 from dappledrum.http.client import NoResponseError, NotSentError, Reply
 from dappledrum.simulation.trace import MessageTrace, Request
 from dappledrum.timing.timeouts import PauseTolerantTimeout
@@ -39,8 +40,8 @@
     max_delay_s: float
     targets: tuple[str, ...]  # drawn for heartbeats; other copies go to the original target
     paths: tuple[str, ...] = ("/hello",)
-    #: Copies of heartbeats are kept until a heartbeat is answered with a higher fencing token
-    #: than any before, and are then delivered to the controller that gave this answer.
+    #: Copies of heartbeats are kept until a heartbeat is answered with a fencing token of a new
+    #: term, and are then delivered to the controller that gave this answer.
     for_next: bool = False
 
 
@@ -106,7 +107,8 @@
         self.start_copies: StartCopies | None = None
         self.copied = 0  # copies drawn so far
         self.copies_for_next_leader: list[tuple[str, bytes]] = []  # source and heartbeat
-        self.highest_token = 0  # the highest fencing token in an answer to a worker
+        #: No earlier term than the newest that has answered a worker has a higher fencing token.
+        self.last_token_of_newest_term = 0
         self.late_writes: LateWrites | None = None
         self.late_commands: LateCommands | None = None
         self.held_requests: list[tuple[str, str, str, str, bytes]] = []
@@ -204,11 +206,11 @@
 
     def _deliver_kept_copies(self, controller: str, answer: bytes) -> None:
         """Process the answer to a heartbeat: deliver the kept copies, in order, to a controller
-        that answers with a new fencing token."""
+        that answers with a fencing token of a new term."""
         token = json.loads(answer).get("baton", 0)
-        if token <= self.highest_token:
+        if token <= self.last_token_of_newest_term:
             return
-        self.highest_token = token
+        self.last_token_of_newest_term = token + TOKENS_PER_TERM - 1
         kept, self.copies_for_next_leader = self.copies_for_next_leader, []
         for source, body in kept:
             asyncio.get_running_loop().create_task(
--- a/dappledrum/workers/commands.py
+++ b/dappledrum/workers/commands.py
@@ -51,10 +51,10 @@
 
     def may_start(self, machine: Machine, heartbeat: WorkerHeartbeat) -> bool:
         """Whether the answer to a heartbeat may carry starts: if it is the newest of the newest
-        known worker process, or no heartbeat of the machine has shown this term's token yet."""
+        known worker process, or no answer to the machine has carried a token of this term yet."""
         if self.context.gives(heartbeat.token):
             return heartbeat.token == machine.incarnation
-        return machine.up and machine.incarnation == 0
+        return machine.up and machine.tokens_given == 0
 
     def of_cancellations(self, machine: Machine, heartbeat: WorkerHeartbeat) -> list[Command]:
         """Commands from a leader whose term depends on lease grants alone: stop the tasks of
--- a/dappledrum/workers/heartbeat_order.py
+++ b/dappledrum/workers/heartbeat_order.py
@@ -2,9 +2,17 @@
 
 A worker process begins with session 1, sequence number 1 and token 0, whatever the former process
 on its machine has reached, and copies of the former one's heartbeats may arrive at any time. So
-(session, sequence) order the heartbeats of one process only. A process that shows this term's
-token was running in this term, so a copy of before is told from its heartbeats by the token. Only
-heartbeats that show it prove anything but the success of a task, which is final.
+(session, sequence) order the heartbeats of one process only. Tokens tell processes apart:
+
+- An answer to a heartbeat that shows no token of this term carries a token that no other answer to
+  the machine has carried (`answer_tokens`). Only the sender of that heartbeat can receive it, so
+  each token of this term is shown by one process.
+- A process that shows a token of this term is answered with this same token.
+- Of two tokens that heartbeats have shown, the higher one was given later, to a process that was
+  running then. So it belongs to a newer process, and the former one has ended with all its tasks.
+
+Therefore (token, session, sequence) order all heartbeats that show a token of this term, and only
+these prove anything but the success of a task, which is final.
 """
 
 from datetime import timedelta
--- a/dappledrum/workers/machine_registry.py
+++ b/dappledrum/workers/machine_registry.py
@@ -29,8 +29,9 @@
         self.up_at: timedelta | None = None
         self.session = 0
         self.sequence = -1
-        #: This term's token, once a process of the worker has shown it; 0: not yet.
+        #: The token of this term that the newest known process of the worker shows; 0: none yet.
         self.incarnation = 0
+        self.tokens_given = 0  # how many tokens of this term answers to it have carried
         #: When the first heartbeat without a token of this term arrived.
         self.unproven_since: timedelta | None = None
         self.last_heartbeat: timedelta | None = None
@@ -123,7 +124,12 @@
 
     def begin_incarnation(self, token: int) -> None:
         """Record that a process of the worker has shown this token of this term for the first
-        time. What an earlier heartbeat has shown says nothing about it."""
+        time. What a former process has shown says nothing about it."""
+        if self.incarnation:
+            self.images.clear()
+            self.reclaim_at = None
+            self.reachability = Reachability()
+            self.session, self.sequence = 0, -1
         for placement in self.placements.values():
             placement.offered_sequence = -1
         self.incarnation = token
--- a/dappledrum/workers/reconciler.py
+++ b/dappledrum/workers/reconciler.py
@@ -110,7 +110,7 @@
         self, machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta
     ) -> None:
         if heartbeat.token != machine.incarnation:
-            machine.begin_incarnation(heartbeat.token)
+            self._begin_incarnation(machine, heartbeat)
         if heartbeat.session > machine.session and machine.up:
             machine.images.clear()
             log.info("%s began a new session: session=%d", machine.name, heartbeat.session)
@@ -122,6 +122,17 @@
         if machine.reclaim_at is not None:
             self.spot_reclaim.stop_unfinishable(machine, machine.reclaim_at - now, now)
 
+    def _begin_incarnation(self, machine: Machine, heartbeat: WorkerHeartbeat) -> None:
+        if machine.incarnation:
+            log.warning(
+                "%s has restarted: placements=%d session=%d former_session=%d",
+                machine.name,
+                len(machine.placements),
+                heartbeat.session,
+                machine.session,
+            )
+        machine.begin_incarnation(heartbeat.token)
+
     @staticmethod
     def _record_order(machine: Machine, heartbeat: WorkerHeartbeat, now: timedelta) -> None:
         machine.session = heartbeat.session
--- a/dappledrum/workers/reconciliation_context.py
+++ b/dappledrum/workers/reconciliation_context.py
@@ -11,6 +11,9 @@
 from dappledrum.timing.clock import ZERO, Clock
 from dappledrum.workers.machine_registry import MachineRegistry
 
+#: The protocol's bound of tokens.
+MAX_TOKEN = 2**64 - 1
+
 
 class ReconciliationObserver(Protocol):
     """Is notified of changes that result from a heartbeat, or from missing ones."""
@@ -29,9 +32,9 @@
 class ReconciliationContext:
     """Records, limits and clock of one term.
 
-    `token` is the fencing token of the term. `others_stopped_at` returns the time since which no
-    other controller has answered a worker, or None if that is not known. `running_since` returns
-    when the last pause of this process ended.
+    `token` and `last_token` are the lowest and the highest fencing token of the term.
+    `others_stopped_at` returns the time since which no other controller has answered a worker, or
+    None if that is not known. `running_since` returns when the last pause of this process ended.
     """
 
     jobs: dict[str, Job]
@@ -41,7 +44,8 @@
     token: int
     others_stopped_at: Callable[[], timedelta | None] = lambda: ZERO
     running_since: Callable[[], timedelta] = lambda: ZERO
+    last_token: int = MAX_TOKEN
 
     def gives(self, token: int) -> bool:
         """Whether a fencing token belongs to this term."""
-        return token == self.token
+        return self.token <= token <= self.last_token
--- a/dappledrum/workers/test_reconciler.py
+++ b/dappledrum/workers/test_reconciler.py
@@ -287,6 +287,59 @@
     assert not setup.placement_removed
 
 
+NEXT_TOKEN = TOKEN + 1  # of a newer process of the worker
+
+
+async def test_a_lower_token_proves_nothing_whatever_its_numbers():
+    """Guards against two processes in one proof: the new one has lower numbers than a copy."""
+    setup = reconciler_with_stored_placement()
+    setup.heartbeat(2, token=NEXT_TOKEN)
+    setup.heartbeat(3, RUNNING, token=NEXT_TOKEN)
+    for token in (0, TOKEN - 1, TOKEN):
+        assert setup.heartbeat(50, token=token) is None
+        assert setup.heartbeat(1, session=9, token=token) is None
+        assert setup.heartbeat(60, (1, "ended", "error"), token=token) is None
+    assert not setup.placement_removed
+    assert setup.heartbeat(4, RUNNING, token=NEXT_TOKEN) == []
+
+
+@pytest.mark.parametrize(("sequence", "session"), [(2, 1), (50, 1), (1, 3)])
+async def test_a_higher_token_shows_a_new_process_whatever_its_numbers(sequence, session):
+    """Guards against a machine that gets no work until its new process has sent more heartbeats
+    than the former one, or has reached its session."""
+    setup = reconciler_with_stored_placement()
+    setup.heartbeat(50, RUNNING)
+    machine = setup.registry.get("m")
+    machine.remember_image("img", 1.0, 9.0)
+    machine.reclaim_at = timedelta(seconds=1)
+    machine.reachability.unreachable = True
+    setup.heartbeat(sequence, session=session, token=NEXT_TOKEN)
+    assert setup.placement_removed
+    assert (machine.session, machine.sequence) == (session, sequence)
+    assert not machine.images
+    assert machine.reclaim_at is None
+    assert not machine.reachability.unreachable
+
+
+async def test_a_start_offered_to_a_former_process_is_offered_to_the_new_one():
+    setup = reconciler_with_stored_placement()
+    assert setup.heartbeat(50) == [("start", 1)]
+    assert setup.heartbeat(2, token=NEXT_TOKEN) == [("start", 1)]
+    assert setup.registry.get("m").reachability.missed_answers == 0
+    setup.job.cancelled = True
+    assert setup.heartbeat(3, token=NEXT_TOKEN) == []
+    assert setup.placement_removed
+
+
+async def test_a_cancelled_start_that_was_offered_to_a_former_process_is_removed():
+    """Guards against a limit that stays used until the new process reaches the former numbers."""
+    setup = reconciler_with_stored_placement()
+    assert setup.heartbeat(50) == [("start", 1)]
+    setup.job.cancelled = True
+    setup.heartbeat(2, token=NEXT_TOKEN)
+    assert setup.placement_removed
+
+
 async def test_a_heartbeat_without_this_terms_token_gets_no_start():
     """Guards against `ran_twice`: the start went to a new process, and a delayed heartbeat of the
     former one, which had been answered in this term, then showed that attempt as failed."""
