A task whose record names a later session starts again after its machine has restarted

Cause: nothing was concluded about a placement in a later session than the heartbeat's, which had to be a late one. The heartbeats of the new process were answered, so silence proved nothing either.

Change: the newest heartbeat of the newest process shows the machine's session; an attempt of any other session has ended, so it starts again without waiting for a lease.

--- a/dappledrum/controller/test_worker_restarts.py
+++ b/dappledrum/controller/test_worker_restarts.py
@@ -8,8 +8,11 @@
 import json
 import random
 
+import msgspec
 import pytest
 
+from dappledrum.jobs.keys import head_key
+from dappledrum.jobs.messages import JobRecord
 from dappledrum.simulation.cluster import SimulatedCluster, job
 from dappledrum.simulation.network import Copies
 from dappledrum.simulation.scenario import LEASE_S, now, running_scenario
@@ -118,6 +121,25 @@
     await finish(cluster)
 
 
+@pytest.mark.parametrize("restarts", [1, 2])
+async def test_a_task_recorded_in_a_later_session_starts_again(restarts):
+    """Guards against a job that is never started again: its record named session 2 of the former
+    process, the new one was in session 1, and nothing was concluded from that."""
+    cluster = await cluster_with_long_job(session=2)
+    name = machine_of(cluster)
+    record = msgspec.convert(cluster.store.keys[head_key(LONG_JOB)][0], JobRecord)
+    assert [row.session for row in record.page.rows] == [2]
+    former_leader = cluster.leader()
+    cluster.kill(former_leader)
+    for _ in range(restarts):
+        await cluster.wait(0.4)
+        cluster.cloud.restart(name)
+    without_waiting_for_a_lease_s = LEASE_S - 1
+    await cluster.until(lambda: cluster.running(LONG_JOB) == 1, without_waiting_for_a_lease_s)
+    cluster.start(former_leader)
+    await finish(cluster)
+
+
 @pytest.mark.parametrize("ahead", [1, 3, 30])
 async def test_a_new_process_reaches_the_numbers_of_the_former_one(ahead):
     """Guards against `ran_twice`: a copy with a higher number than any of the new process, from
--- a/dappledrum/recovery/test_reconciliation.py
+++ b/dappledrum/recovery/test_reconciliation.py
@@ -59,8 +59,8 @@
     if recorded_shown and ended and not case.from_former_term:
         placed = False
         unstored = True
-    if placed and recorded_in < case.session and not case.from_former_term:
-        placed = False  # the worker has killed all tasks of the recorded session
+    if placed and recorded_in != case.session and not case.from_former_term:
+        placed = False  # the worker has killed all tasks of the recorded session, or has restarted
         unstored = True
     unwanted = case.cancelled or done
     if (
--- a/dappledrum/workers/placement_comparison.py
+++ b/dappledrum/workers/placement_comparison.py
@@ -43,14 +43,12 @@
         missed_start = False
         for placement in list(machine.placements.values()):
             missed_start |= _lacks_offered_start(placement, heartbeat)
-            if placement.session < heartbeat.session:
+            if placement.session != heartbeat.session:
                 self.ends.lose(
                     machine, placement, "its session has ended", CostCategory.LOST_LEASE_EXPIRED
                 )
-            elif (
-                placement.session == heartbeat.session
-                and _attempt_key(placement) not in shown
-                and self._proves_termination(placement, heartbeat)
+            elif _attempt_key(placement) not in shown and self._proves_termination(
+                placement, heartbeat
             ):
                 self.ends.lose(machine, placement, "no longer there", CostCategory.LOST_STOPPED)
         if missed_start:
--- a/dappledrum/workers/reconciler.py
+++ b/dappledrum/workers/reconciler.py
@@ -6,7 +6,8 @@
 - a heartbeat without it that carries a token of this term (one delayed from a predecessor's term
   proves nothing) and is newer than the one whose answer carried the start (the worker has dropped
   that answer by then);
-- a heartbeat of a newer session with a token of this term;
+- a heartbeat with a token of this term that shows another session: an attempt belongs to one
+  session of one process;
 - the cloud's confirmation that the machine was returned;
 - silence for longer than a lease, clock drift included, since the last answer that any controller
   can have given to a worker process that had the attempt. A predecessor may have answered until
--- a/dappledrum/workers/test_reconciler.py
+++ b/dappledrum/workers/test_reconciler.py
@@ -303,7 +303,7 @@
     assert setup.heartbeat(4, RUNNING, token=NEXT_TOKEN) == []
 
 
-@pytest.mark.parametrize(("sequence", "session"), [(2, 1), (50, 1), (1, 3)])
+@pytest.mark.parametrize(("sequence", "session"), [(2, 1), (50, 1), (1, 3), (2, 0)])
 async def test_a_higher_token_shows_a_new_process_whatever_its_numbers(sequence, session):
     """Guards against a machine that gets no work until its new process has sent more heartbeats
     than the former one, or has reached its session."""
@@ -340,6 +340,24 @@
     assert setup.placement_removed
 
 
+@pytest.mark.parametrize("recorded_session", [1, 2, 9])
+async def test_a_placement_of_another_session_is_lost_once_this_terms_token_is_shown(
+    recorded_session,
+):
+    """Guards against a record that names a later session than the new process has."""
+    setup = OneJobReconciler()
+    setup.registry.machines.clear()
+    setup.page.remove(0)
+    setup.placement = setup.page.place(0, "m", recorded_session, "a", datetime.now(UTC))
+    setup.save()
+    setup.reconciler.restore(setup.job)
+    assert setup.heartbeat(1, session=1, token=0) == []
+    assert setup.heartbeat(2, session=12, token=TOKEN - 1) == []
+    assert not setup.placement_removed, "copies show other sessions"
+    setup.heartbeat(2, session=1)
+    assert setup.placement_removed is (recorded_session != 1)
+
+
 async def test_a_heartbeat_without_this_terms_token_gets_no_start():
     """Guards against `ran_twice`: the start went to a new process, and a delayed heartbeat of the
     former one, which had been answered in this term, then showed that attempt as failed."""
