Simulation: restarts of workers are a kind of fault

machine_restart: machines, chosen by number, share or zone, stop with all that is on them at moments drawn from a span, and are back after a given time, some twice within a second. The experiment reports the requests in the 10 s before and after each fault.

--- a/dappledrum/simulation/experiment.py
+++ b/dappledrum/simulation/experiment.py
@@ -6,9 +6,9 @@
 Runs five complete controllers with a busy fleet, and checks the invariants on each step. The
 report (JSON) has figures that the bench lacks: seconds without a leader, the longest time in which
 no heartbeat of a machine was answered, sessions that ended, and for each fault, up to the next
-one, the seconds until nine tenths of the tasks that ran before it run again, and the machines
-rented within 10 s. All figures are simulated. Crashed controllers restart after `--back` seconds;
-users submit jobs until `--until`.
+one, the seconds until nine tenths of the tasks that ran before it run again, the machines rented
+within 10 s, and the requests in the 10 s before and after it. All figures are simulated. Crashed
+controllers restart after `--back` seconds; users submit jobs until `--until`.
 """
 
 import argparse
@@ -16,6 +16,7 @@
 import logging
 import statistics
 import sys
+from collections import Counter, deque
 from pathlib import Path
 
 import msgspec
@@ -29,6 +30,7 @@
 FIVE = tuple(f"drummer-{index}" for index in range(5))
 SAMPLE_INTERVAL_S = 0.25
 RENTED_WITHIN_S = 10.0
+REQUESTS_WITHIN_S = 10.0
 RECOVERED_SHARE = 0.9
 TASK_RUN_S = 12.0
 TASKS_PER_JOB = 20
@@ -46,6 +48,9 @@
     #: Seconds until nine tenths of the tasks ran again for good; None: not before the next fault.
     back_s: float | None = None
     rented: int = 0
+    #: Requests by the first part of their path, in `REQUESTS_WITHIN_S` before and after it.
+    requests_before: dict[str, int] = {}
+    requests_after: dict[str, int] = {}
 
 
 class Report(msgspec.Struct, rename={"faults": "troubles"}):
@@ -77,30 +82,37 @@
         self.cluster = cluster
         self.restart_delay_s = restart_delay_s
         self.pending_faults: list[Fault] = sorted(day.faults, key=lambda fault: fault.at_s)
-        self.observed: list[tuple[FaultEffects, float, int]] = []
+        self.observed: list[tuple[FaultEffects, float, int, Counter[str]]] = []
         self.leaderless_s = 0.0
         self.longest_gaps: dict[str, float] = {}
         self.sessions: dict[str, int] = {}
+        #: Requests sent so far, by the first part of their path, at each sample.
+        self.sent: deque[Counter[str]] = deque(maxlen=round(REQUESTS_WITHIN_S / SAMPLE_INTERVAL_S))
 
     def sample(self, now: float) -> None:
         """Start the faults that are due, and update the figures."""
         cluster = self.cluster
+        sent = cluster.network.sent.copy()
+        self.sent.append(sent)
         running = len(cluster.rules.running)
         while self.pending_faults and self.pending_faults[0].at_s <= now:
             fault = self.pending_faults.pop(0)
             effects = FaultEffects(fault.at_s, fault.kind, running)
-            self.observed.append((effects, now, cluster.cloud.last_number))
+            effects.requests_before = dict(sent - self.sent[0])
+            self.observed.append((effects, now, cluster.cloud.last_number, sent))
             fault.begin(cluster, self.restart_delay_s)
         self.leaderless_s += SAMPLE_INTERVAL_S * (cluster.leader() is None)
         for worker in cluster.cloud.workers():
             gap = now - worker.answered_at
             self.longest_gaps[worker.name] = max(self.longest_gaps.get(worker.name, 0.0), gap)
             self.sessions[worker.name] = worker.session
-        for effects, started_at, last_machine in self.observed:
+        for effects, started_at, last_machine, sent_before in self.observed:
             if now - started_at <= RENTED_WITHIN_S:
                 effects.rented = cluster.cloud.last_number - last_machine
+            if now - started_at <= REQUESTS_WITHIN_S:
+                effects.requests_after = dict(sent - sent_before)
         if self.observed:  # until the next fault
-            effects, started_at, _ = self.observed[-1]
+            effects, started_at, _, _ = self.observed[-1]
             if running < effects.running_before * RECOVERED_SHARE:
                 effects.back_s = None
             elif effects.back_s is None:
@@ -181,10 +193,14 @@
         round(cluster.store.writes / until_s, 1),
         round(max(waits, default=0.0), 2),
         round(cluster.rules.longest_unanswered_s, 2),
-        [effects for effects, _, _ in sampler.observed],
+        [effects for effects, _, _, _ in sampler.observed],
     )
 
 
+def _counts(requests: dict[str, int]) -> str:
+    return " ".join(f"{path}={count}" for path, count in sorted(requests.items()))
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run a day file with some seeds, and print a report of each run."""
     parser = argparse.ArgumentParser(
@@ -228,6 +244,10 @@
                 f"  {effects.at_s:6.1f} s {effects.kind}: {effects.running_before} ran,"
                 f" nine tenths {recovery}; {effects.rented} machines rented in 10 s"
             )
+            print(
+                f"         requests in 10 s before {_counts(effects.requests_before)};"
+                f" after {_counts(effects.requests_after)}"
+            )
     if trace is not None:
         trace.close()
         print(f"trace: {trace.lines} lines, sha256 {trace.sha256}")
--- a/dappledrum/simulation/fault_combinations.py
+++ b/dappledrum/simulation/fault_combinations.py
@@ -53,8 +53,10 @@
         drawn["for_s"] = min(drawn["for_s"], 12.0)
     if kind == "node_cut":
         drawn |= _draw_cut(rng)
-    if kind in ("machine_deaf", "machine_mute"):
+    if kind in ("machine_deaf", "machine_mute", "machine_restart"):
         drawn = _draw_machines(drawn, rng)
+    if kind == "machine_restart":
+        drawn |= {"back_s": rng.choice(RESTART_DELAYS_S), "twice": rng.random() < 0.3}
     if kind == "cancel_now":
         drawn["hang_s"] = rng.choice((0.0, *DURATIONS_S))
     if kind == "cancel_at_end":
--- a/dappledrum/simulation/faults/__init__.py
+++ b/dappledrum/simulation/faults/__init__.py
@@ -34,6 +34,7 @@
         machines.MachineHang,
         machines.MachineDeaf,
         machines.MachineMute,
+        machines.MachineRestart,
         machines.CloudOutage,
         machines.LateReports,
         machines.LateStarts,
@@ -71,6 +72,7 @@
     if cluster.store.in_outage:
         cluster.store.end_outage()
     cluster.cloud.in_outage = False
+    cluster.cloud.cancel_restarts()
     for worker in cluster.cloud.workers():
         worker.hung = False
     for member in cluster.members:
--- a/dappledrum/simulation/faults/machines.py
+++ b/dappledrum/simulation/faults/machines.py
@@ -2,13 +2,21 @@
 heartbeats and commands, and outages of the cloud."""
 
 from dappledrum.simulation.cluster import SimulatedCluster
-from dappledrum.simulation.faults.base import Count, Fault, LastingFault, Share, call_later
+from dappledrum.simulation.faults.base import (
+    Count,
+    Fault,
+    LastingFault,
+    Seconds,
+    Share,
+    call_later,
+)
 from dappledrum.simulation.fleet import Worker
 from dappledrum.simulation.network import Copies, LateCommands, StartCopies
 
 LISTED_AFTER_FAILURE_S = 30.0  # how long the cloud lists a machine that has failed
 LATE_HEARTBEAT_DELAY = (2.0, 3.0)  # minimum delay in seconds, maximum in leases
 NEAR_LEASE_S = 0.2  # how long before and after the end of a lease copies arrive
+SECOND_RESTART_S = 1.0  # the longest that a worker process runs before a second restart
 LATE_COMMAND_DELAY_S = (2.0, 16.0)  # range of delays in seconds, as on the bench
 
 
@@ -83,6 +91,27 @@
         call_later(self.for_s, cluster.network.muted.difference_update, pairs)
 
 
+class MachineRestart(_ChosenMachines, tag="machine_restart"):
+    """Machines stop with all that is on them, each at a moment drawn from `for_s`, and are back
+    after `back_s` with a new process of their worker; with `twice`, they restart once more while
+    that process waits for its first answers."""
+
+    back_s: Seconds = 0.3
+    twice: bool = False
+
+    @property
+    def lasts_s(self) -> float:
+        return self.for_s + self.back_s + (SECOND_RESTART_S if self.twice else 0.0)
+
+    def begin(self, cluster: SimulatedCluster, restart_delay_s: float) -> None:
+        for name in self.choose(cluster):
+            at_s = cluster.rng.uniform(0, self.for_s)
+            cluster.cloud.restart_later(at_s, name, self.back_s)
+            if self.twice:
+                again_s = at_s + self.back_s + cluster.rng.uniform(0, SECOND_RESTART_S)
+                cluster.cloud.restart_later(again_s, name, 0.0)
+
+
 class CloudOutage(LastingFault, tag="cloud_outage"):
     """The cloud answers all requests with 503."""
 
--- a/dappledrum/simulation/fleet.py
+++ b/dappledrum/simulation/fleet.py
@@ -443,6 +443,7 @@
         self.failing_boot_share = 0.0  # share of new machines that never boot
         self.boot_time_factor = 1.0
         self.last_number = 0  # number of the newest machine
+        self.pending_restarts: list[asyncio.TimerHandle] = []
 
     async def __call__(self, source: str, method: str, path: str, body: bytes) -> Reply:
         """Handle one request."""
@@ -513,6 +514,17 @@
             ]
             self.recently_terminated.append(machine)
 
+    def restart_later(self, delay_s: float, name: str, after_s: float) -> None:
+        """Restart a machine's worker after some seconds, unless `cancel_restarts` is called."""
+        loop = asyncio.get_running_loop()
+        self.pending_restarts.append(loop.call_later(delay_s, self.restart, name, after_s))
+
+    def cancel_restarts(self) -> None:
+        """Cancel all restarts that have not begun."""
+        for restart in self.pending_restarts:
+            restart.cancel()
+        self.pending_restarts.clear()
+
     def restart(self, name: str, after_s: float = 0.0) -> None:
         """End the worker of a machine with all its tasks; after some seconds a new process of the
         worker starts there. Ignored if none is running."""
--- a/dappledrum/simulation/network.py
+++ b/dappledrum/simulation/network.py
@@ -4,6 +4,7 @@
 import contextvars
 import json
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from datetime import timedelta
 from typing import Any, NamedTuple
@@ -114,6 +115,7 @@
         self.held_requests: list[tuple[str, str, str, str, bytes]] = []
         self.late_deliveries = 0  # held requests released so far
         self.trace: MessageTrace | None = None  # records every message, if set
+        self.sent: Counter[str] = Counter()  # requests by the first part of their path
 
     def cut(self, a: str, b: str) -> None:
         """Hold back everything between two hosts."""
@@ -272,6 +274,7 @@
         network = self.network
         if self.ended:
             await asyncio.sleep(NO_RESPONSE_S)
+        network.sent[path.partition("?")[0].split("/")[1]] += 1
         pair = frozenset((self.source, self.target))
         forward = (host(self.source), host(self.target))
         backward = (forward[1], forward[0])
--- a/dappledrum/simulation/test_days.py
+++ b/dappledrum/simulation/test_days.py
@@ -431,7 +431,7 @@
 def test_end_all_ends_every_kind_of_fault(kind):
     options = {"for_s": 500.0, "share": 0.5, "count": 1, "every_s": 1.0, "hang_s": 500.0}
     options["for_next"] = True
-    if kind in ("machine_deaf", "machine_mute"):
+    if kind in ("machine_deaf", "machine_mute", "machine_restart"):
         del options["count"]
     supported = {
         name: value for name, value in options.items() if name in KINDS[kind].__struct_fields__
@@ -446,6 +446,7 @@
         assert not (cluster.store.in_outage)
         assert not (cluster.store.refused)
         assert not (cluster.cloud.in_outage)
+        assert not (cluster.cloud.pending_restarts)
         assert not (network.late_writes)
         assert not (network.late_commands)
         assert not (network.copies)
--- a/dappledrum/simulation/test_experiment.py
+++ b/dappledrum/simulation/test_experiment.py
@@ -30,6 +30,7 @@
   { at_s = 160.0, kind = "cancel_now", count = 1, hang_s = 3.0 },
   { at_s = 162.0, kind = "late_starts", share = 0.5, for_s = 10.0 },
   { at_s = 166.0, kind = "leader_transfer" },
+  { at_s = 168.0, kind = "machine_restart", count = 2, for_s = 1.0 },
 ]
 """
 
--- a/dappledrum/simulation/test_fault_combinations.py
+++ b/dappledrum/simulation/test_fault_combinations.py
@@ -30,6 +30,13 @@
     ("node_cut", "late_writes"),
     ("late_starts", "node_crash"),
     ("late_starts", "machine_hang"),
+    ("machine_restart", "node_crash"),
+    ("machine_restart", "late_reports"),
+    ("machine_restart", "state_outage"),
+    ("machine_restart", "cancel_now"),
+    ("machine_restart", "machine_deaf"),
+    ("machine_restart", "machine_mute"),
+    ("machine_restart", "late_reports:for_next"),
 )
 
 #: Seeds, and pairs of kinds that are combined with a change of leader.
@@ -41,6 +48,10 @@
     (504, ("close_looks", "late_writes:at_once")),
     (608, ("late_reports:for_next", "leader_transfer")),
     (704, ("late_starts", "cancel_now")),
+    (800, ("machine_restart", "late_reports:for_next")),
+    (801, ("machine_restart", "late_reports")),
+    (802, ("machine_restart", "state_outage")),
+    (803, ("machine_restart", "cancel_now")),
 )
 
 
