--- a/dappledrum/leader/test_worker_restarts.py
+++ b/dappledrum/leader/test_worker_restarts.py
@@ -338,3 +338,47 @@
 
         events += run(main())
     assert min(events["restarts"], events["leaders"], events["copies"]) > 50, events
+
+
+def heartbeat_with(attempts, sequence, token):
+    tasks = [TaskStatus("j-000001/0", attempt, "running") for attempt in attempts]
+    return WorkerHeartbeat(
+        "m", "10.1.0.1:1", "small", "a", True, 1, sequence, token, None, tasks
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(("token", "counted"), [(0, False), (1, True)])
+async def test_a_copy_renews_nothing_once_a_process_has_shown_its_token(token, counted):
+    """Guards against copies of before the term that keep the tasks of a machine which is gone."""
+    history = History(1)
+    leader = history.leader
+    leader.term.others_stopped_at = None
+
+    async def respond(heartbeat):
+        return await leader.responder.respond(heartbeat, lambda: True, ZERO)
+
+    await respond(heartbeat_with([], 1, 1))
+    leader.plan()
+    await respond(heartbeat_with([1], 2, 1))
+    placement = leader.page.placements[0]
+    renewed_at = placement.renewed_at
+    await asyncio.sleep(1)
+    assert await respond(heartbeat_with([1], 3, token)) is not None
+    assert (placement.renewed_at > renewed_at) is counted
+
+
+@pytest.mark.parametrize("later", [0, 1])
+async def test_an_unproven_heartbeat_renews_what_it_shows_also_out_of_order(later):
+    """Guards against a renewal that is not counted: a copy with higher numbers came first."""
+    history = History(1)
+    leader = history.leader
+    page = leader.page
+    placement = page.place(0, "m", 1, "a", datetime.now(UTC))
+    leader.reconciler.restore(history.job)
+    copy = heartbeat_with([], 50 * later, 0)
+    await leader.responder.respond(copy, lambda: True, ZERO)
+    renewed_at = placement.renewed_at
+    await asyncio.sleep(1)
+    answer = await leader.responder.respond(heartbeat_with([1], 5, 0), lambda: True, ZERO)
+    assert answer is not None
+    assert placement.renewed_at > renewed_at
