--- a/dappledrum/controller/test_worker_restarts.py
+++ b/dappledrum/controller/test_worker_restarts.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from dappledrum.election.terms import EPOCH_KEY
 from dappledrum.jobs.keys import head_key
 from dappledrum.jobs.messages import JobRecord
 from dappledrum.simulation.cluster import SimulatedCluster, job
@@ -333,6 +334,38 @@
     await finish(cluster)
 
 
+@pytest.mark.parametrize("restarted", [False, True])
+async def test_terms_of_a_version_with_one_token_lie_between_others(restarted):
+    """A version that gives one token in each term led before, and leads in between: it takes the
+    next number after the stored one. Workers obey each leader after the one before."""
+    cluster = await cluster_with_long_job(machines=2)
+    stored = cluster.store.keys[EPOCH_KEY][0]
+    for member in FIVE:
+        cluster.kill(member)
+    await cluster.wait(3.5)  # until the leader's lease has expired
+    its_epoch = stored["epoch"] + 1
+    change = {"write": EPOCH_KEY, "value": {"epoch": its_epoch}}
+    cluster.store.run_transaction({"guards": [], "then": [change]})
+    for worker in cluster.cloud.workers():
+        assert worker.token < its_epoch
+        worker.token = its_epoch
+        worker.lease_renewed_at = now()
+    name = machine_of(cluster)
+    for member in FIVE:
+        cluster.start(member)
+    if restarted:
+        cluster.cloud.restart(name)
+    await cluster.until(lambda: cluster.leader() is not None, LEASE_S)
+    leader = cluster.controllers[cluster.leader()].elector.term
+    assert leader.epoch == its_epoch + 1
+    await cluster.until(
+        lambda: all(worker.token >= leader.epoch for worker in cluster.cloud.workers()), LEASE_S
+    )
+    await cluster.until(lambda: cluster.running(LONG_JOB) == 1, BACK_AT_WORK_S)
+    assert machine_of(cluster) == name
+    await finish(cluster)
+
+
 @pytest.mark.parametrize("seed", range(6))
 async def test_restarts_meet_elections_limits_cancellations_and_copies(seed):
     """Drawn: machines restart, alone or all of a zone, in elections and outages, while users
